Take up a new discovery on SIGHUP, where the signal used to end the node

Checked: the file's discovery differs from the variable after each SIGHUP, so the file has to win then; the old address closes open watches, and waiting for that costs a back-off. Ruled out: reading the module's settings anew, which would lose what it has learnt. Now: signals are caught before the node listens, the watch moves at once and asks for the whole list, an older list does not undo a drain, a bad file is logged and changes nothing. Discovery gets connections of its own beside those of the forwards.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -5,9 +5,9 @@
 import gc
 import os
 import random
-import resource
 import signal
 import sys
+from collections.abc import AsyncIterator, Mapping
 
 import trio
 
@@ -21,6 +21,7 @@
 from burlmoor.net.target_group import TargetGroup, Watch
 
 _SPARE_SOCKETS = 64  # descriptors for what is neither a client's nor a target's connection
+_FOR_DISCOVERY = 4
 _TARGETS_PART = 0.3  # of the rest: a forward holds a connection only until its 202
 _IDLE_PART = 0.4  # of the time after which a target's machine closes an idle connection
 _KEEP_SERVING = 0.7  # seconds after SIGTERM in which clients may still come
@@ -31,7 +32,7 @@
 
     def __init__(self, given: config.Config, nursery: trio.Nursery, log: Log) -> None:
         decisions, sockets = given.settings.decisions, max(128, given.sockets) - _SPARE_SOCKETS
-        self._log, self._nursery = log, nursery
+        self._given, self._log, self._nursery = given, log, nursery
         self._woken = trio.Event()
         self._clock = clock = Clock()
         self.core = Core(decisions, given.seed, clock, log, self._wake)
@@ -41,7 +42,9 @@
         self.group = TargetGroup(self.core, self.pool, clock.from_unix)
         self.forwards = Forwards(self.core, self.group, self.pool, nursery, clock, log)
         rng = random.Random(given.seed + 1)
-        self.watch = Watch(self.group, self.pool, given.discovery, rng, log)
+        # Discovery has connections of its own: forwards that hang must not keep drains from being told.
+        self.lists = Pool(self.pool.idle_limit, timeout, _FOR_DISCOVERY)
+        self.watch = Watch(self.group, self.lists, given.discovery, rng, log)
         self.core.targets, self.core.target_list = self.forwards, self.watch
         classes = [each.name for each in decisions.classes]
         self.group.start_from(given.known)
@@ -76,17 +79,37 @@
         while True:
             await trio.sleep(1.0)
             self.pool.sweep()
+            self.lists.sweep()
             self.front.sweep()
 
-    async def obey_signals(self) -> None:
-        """On SIGTERM or SIGINT finish what was taken, then end the node."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
-        await self.stop()
+    async def obey_signals(self, signals: AsyncIterator[int]) -> None:
+        """SIGHUP: read the configuration again. SIGTERM, SIGINT: finish what was taken, then end the node."""
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self.reload(os.environ)
+            else:
+                self._nursery.start_soon(self.stop)
+
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Take up what a new configuration changes while the node runs; jobs and what was learnt stay."""
+        try:
+            new = config.load(environment, again=True)
+        except Exception as error:
+            # Guards against a configuration that cannot be meant ending the node: the old one holds.
+            self._log("reload-failed", error=str(error))
+            return
+        if self.group.version is None and new.known is not None:
+            self.group.start_from(new.known)
+        self.watch.move(new.discovery)
+        # `known` is older than what discovery has told since; the rest is built in at the start.
+        kept = ("name", "listen", "seed", "sockets", "settings")
+        later = [name for name in kept if getattr(new, name) != getattr(self._given, name)]
+        self._log("reloaded", discovery=new.discovery, needs_restart=later)
 
     async def stop(self) -> None:
-        """Finish what was taken, then end the node."""
+        """Finish what was taken, then end the node. Told again, it changes nothing."""
+        if self.front.stopping:
+            return
         self._log("stopping", open=self.core.open_jobs)
         self.front.stopping = True
         await trio.sleep(_KEEP_SERVING)
@@ -102,15 +125,22 @@
 
 
 async def _serve(given: config.Config, log: Log) -> None:
-    async with trio.open_nursery() as nursery:
-        node = Node(given, nursery, log)
-        node.start()
-        nursery.start_soon(node.obey_signals)
-        # What is built so far stays: collections look at what came later, which keeps their pauses short.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 20, 20)
-        log("started", listen=":".join(map(str, given.listen)), version=node.group.version)
+    # The signals are caught before the node listens: uncaught, SIGHUP would end it with all that it took.
+    signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with signals as received:
+        async with trio.open_nursery() as nursery:
+            node = Node(given, nursery, log)
+            node.start()
+            nursery.start_soon(node.obey_signals, received)
+            _settle()
+            log("started", listen=":".join(map(str, given.listen)), version=node.group.version)
+
+
+def _settle() -> None:
+    """What is built so far stays: collections look at what came later, which keeps their pauses short."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
 
 
 def main() -> int:
@@ -120,11 +150,9 @@
     except config.BadConfig as error:
         print(f"burlmoor: {error}", file=sys.stderr)
         return 2
-    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    sockets = given.sockets if hard == resource.RLIM_INFINITY else min(given.sockets, hard)
     failed = 0
     try:
-        trio.run(_serve, given._replace(sockets=sockets), Log(given.name))
+        trio.run(_serve, given, Log(given.name))
     except* OSError as group:
         print(f"burlmoor: {group.exceptions[0]}", file=sys.stderr)
         failed = 1
--- a/burlmoor/config.py
+++ b/burlmoor/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -45,8 +46,11 @@
     settings: NodeSettings
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """The configuration, or `BadConfig`. Where both speak, the environment wins."""
+def load(environment: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration, or `BadConfig`. Where both speak, the environment wins.
+
+    Read `again`, while the node runs, the file's discovery wins: the environment is as old as the process.
+    """
     path = environment.get("RELAY_CONFIG")
     if not path:
         raise BadConfig("RELAY_CONFIG: not set")
@@ -65,14 +69,16 @@
         seed = int(given.seed, 16)
     except ValueError as error:
         raise BadConfig("seed: not a hexadecimal number") from error
-    discovery = environment.get("RELAY_DISCOVERY") or given.discovery
+    told = (environment.get("RELAY_DISCOVERY"), given.discovery)
+    discovery = (told[1] or told[0] if again else told[0] or told[1]) or ""
     _address("discovery", discovery)
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     return Config(
         name=environment.get("RELAY_NAME") or given.name or "node",
         listen=_address("listen", environment.get("RELAY_LISTEN") or given.listen),
         discovery=discovery,
         seed=seed,
-        sockets=given.limits.sockets,
+        sockets=given.limits.sockets if hard == resource.RLIM_INFINITY else min(given.limits.sockets, hard),
         known=given.known,
         settings=settings,
     )
--- a/burlmoor/net/pool.py
+++ b/burlmoor/net/pool.py
@@ -77,7 +77,7 @@
     """Owns the idle connections, freshest last, and the count of all of them."""
 
     def __init__(self, idle_limit: float, connect_timeout: float, size: int) -> None:
-        self._idle_limit, self._connect_timeout, self._size = idle_limit, connect_timeout, size
+        self.idle_limit, self._connect_timeout, self._size = idle_limit, connect_timeout, size
         self._idle: dict[str, list[Link]] = {}
         self.open = 0
 
@@ -90,7 +90,7 @@
         while idle:
             link = idle.pop()
             # What is written to a connection that its peer has closed would end as a reset.
-            if trio.current_time() - link.idle_since < self._idle_limit and link.quiet():
+            if trio.current_time() - link.idle_since < self.idle_limit and link.quiet():
                 link.used = True
                 return link
             link.close()
@@ -148,7 +148,7 @@
 
     def sweep(self) -> None:
         """Close what has been idle for too long, or has been closed by its peer."""
-        limit = trio.current_time() - self._idle_limit
+        limit = trio.current_time() - self.idle_limit
         for dial, idle in list(self._idle.items()):
             kept = []
             for link in idle:
--- a/burlmoor/net/target_group.py
+++ b/burlmoor/net/target_group.py
@@ -19,6 +19,7 @@
 _ANSWER_WITHIN = 2.0  # seconds that discovery may take beyond the wait
 _BACKOFF = (0.1, 2.0)  # seconds before the first call after a failure, and at most
 _STATES = {"active": m.State.LIVE, "leaving": m.State.DRAINING, "left": m.State.GONE}
+_HEALTH = {state: health for health, state in _STATES.items()}
 
 
 class _Host(msgspec.Struct):
@@ -89,9 +90,14 @@
             names = {host.host for host in given.hosts}
             for name in [name for name in self._targets if name not in names]:
                 self._pool.drop(self._targets.pop(name).dial)
-        for host in given.hosts:
+        older = self.version is not None and given.seq < self.version
+        for number, host in enumerate(given.hosts):
             old = self._targets.get(host.host)
             state = _STATES.get(host.health, m.State.GONE)
+            if older and old is not None and old.born == host.born_ms and old.state is not m.State.LIVE:
+                # Guards the drain rule: a list from before a drain was told does not undo it.
+                state = old.state
+                given.hosts[number] = msgspec.structs.replace(host, health=_HEALTH[state])
             new = Target(host.dial or (old.dial if old else ""), state, host.born_ms)
             if old is not None and (new.dial, new.born) != (old.dial, old.born):
                 # A process that has started anew knows nothing of the old one's connections.
@@ -122,6 +128,17 @@
         self._group, self._pool, self._dial, self._rng, self._say = group, pool, dial, rng, say
         self._failures = 0
         self._whole = False
+        self._turn = trio.CancelScope()
+
+    def move(self, dial: str) -> None:
+        """Discovery is at another address from now on: ask there at once, whatever was under way."""
+        if dial == self._dial:
+            return
+        self._pool.drop(self._dial)
+        self._dial = dial
+        # Its versions need not go on from the old one's, so the first call there asks for the whole list.
+        self._failures, self._whole = 0, True
+        self._turn.cancel()
 
     def subscribe(self) -> None:
         """The watch runs from the start and never ends, so the module's wish is met already."""
@@ -133,23 +150,28 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            whole = self._whole or self._group.version is None
-            self._whole = False
-            try:
-                # A new watch is answered within its wait; only a whole list is answered at once.
-                with trio.fail_after(_ANSWER_WITHIN + (0.0 if whole else _WAIT_MS / 1000.0)):
-                    self._group.apply(await self._call(whole))
-            except Exception as error:  # whatever it is, the node goes on with the list it has
-                self._failures += 1
-                self._say("discovery-failed", error=repr(error), failures=self._failures)
-                first, most = _BACKOFF
-                # Jittered, so that the nodes do not ask in step when discovery is back.
-                wait = min(most, first * 2.0 ** (self._failures - 1)) * self._rng.uniform(0.5, 1.0)
-                await trio.sleep(wait)
-            else:
-                if self._failures:
-                    self._say("discovery-back", failures=self._failures, version=self._group.version)
-                self._failures = 0
+            with trio.CancelScope() as self._turn:  # ended early where discovery moves
+                await self._ask()
+
+    async def _ask(self) -> None:
+        """One call, and the wait after it if it failed."""
+        whole = self._whole or self._group.version is None
+        try:
+            # A new watch is answered within its wait; only a whole list is answered at once.
+            with trio.fail_after(_ANSWER_WITHIN + (0.0 if whole else _WAIT_MS / 1000.0)):
+                self._group.apply(await self._call(whole))
+        except Exception as error:  # whatever it is, the node goes on with the list it has
+            self._failures += 1
+            self._say("discovery-failed", error=repr(error), failures=self._failures)
+            first, most = _BACKOFF
+            # Jittered, so that the nodes do not ask in step when discovery is back.
+            wait = min(most, first * 2.0 ** (self._failures - 1)) * self._rng.uniform(0.5, 1.0)
+            await trio.sleep(wait)
+        else:
+            if self._failures:
+                self._say("discovery-back", failures=self._failures, version=self._group.version)
+            self._failures = 0
+            self._whole = self._whole and not whole  # asked for again until it has come
 
     async def _call(self, whole: bool) -> bytes:
         path = _PATH if whole else b"%s?after=%d&wait_ms=%d" % (_PATH, self._group.version or 0, _WAIT_MS)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -90,6 +90,7 @@
         self.open: list[Wire] = []  # connections of executors
         self.dials: dict[str, str] = {}
         self.watches: list[Wire] = []
+        self.left: list[Wire] = []  # calls to discovery whose connection the node has ended
         self.asked: list[str] = []
         self.news = trio.Event()
 
@@ -150,6 +151,8 @@
                 self.asked.append(message.start.split()[1])
                 self.watches.append(wire)
                 self.happened()
+            self.left.append(wire)
+            self.happened()
 
         return await self.listen(serve)
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from pathlib import Path
 from typing import Any
 
 import pytest
 import trio
 
 from tests.peers import Message, Stage, stage
+from tests.test_config import written
 
 
 def play(story: Callable[[Stage], Awaitable[Any]], *script: str, **given: Any) -> Any:
@@ -211,6 +214,54 @@
     assert sum("discovery-failed" in line for line in lines) == 3
 
 
+@pytest.mark.parametrize("waiting", ["for an answer", "after failures"])
+def test_discovery_that_moves_is_asked_for_the_whole_list_at_once(waiting: str, tmp_path: Path) -> None:
+    async def story(made: Stage) -> None:
+        await made.publish(5, False, e0="leaving")
+        wire = await made.submit()
+        await made.until(lambda: made.jobs and made.watches)
+        if waiting == "after failures":
+            made.node.watch._failures = 9
+            await made.watches.pop().write("HTTP/1.1 503 Busy")
+            await made.until(lambda: made.node.watch._failures == 10)
+        old, made.asked, made.watches = made.watches, [], []
+        told = await made.discovery()
+        known = made.listed(1, e0="active")  # older than what has been told since
+        moved = written(tmp_path, discovery=told, known=known)
+        for _ in range(2):  # twice changes nothing
+            made.node.reload({**moved, "RELAY_DISCOVERY": "127.0.0.1:9"})
+        began = trio.current_time()
+        await made.until(lambda: made.asked)
+        assert made.asked == ["/registry/instances"]
+        assert trio.current_time() - began < 0.9  # a back-off after ten failures is a second at least
+        await made.until(lambda: set(old) <= set(made.left))
+        # Its versions may be lower, but what drains does not come back without a new start.
+        await made.publish(3, e0="active", e1="active")
+        await made.until(lambda: len(made.asked) > 1)
+        assert made.asked[1] == "/registry/instances?after=3&wait_ms=8000"
+        assert made.node.group.live("e0") is None
+        assert made.node.group.live("e1") is not None
+        await made.tell("done", "kept")
+        assert (await made.answer(wire)).body == b"kept"
+
+    play(story)
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"settings": {}, "discovery": 7}', "[" * 100_000])
+def test_a_configuration_that_cannot_be_meant_leaves_the_old_one(text: str, tmp_path: Path) -> None:
+    async def story(made: Stage) -> None:
+        await made.until(lambda: made.asked)
+        bad = tmp_path / "bad.json"
+        bad.write_text(text)
+        made.node.reload({"RELAY_CONFIG": str(bad)})
+        await made.publish(9, e1="active")  # the old watch goes on
+        await made.until(lambda: made.node.group.version == 9)
+
+    lines: list[str] = []
+    play(story, lines=lines)
+    assert [json.loads(line)["event"] for line in lines] == ["reload-failed"]
+
+
 LONG = b"POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n"
 
 
