Reject requests that give two lengths, whose body may hide another request

Ruled out: pipelining by itself, which is legal; lengths that differ, which h11 rejects. Now such a head gets 400 and its connection is closed.

--- a/burlmoor/net/listener.py
+++ b/burlmoor/net/listener.py
@@ -111,6 +111,9 @@
             event = self._http.next_event()
             if isinstance(event, h11.Request):
                 self._head = event
+                if {b"content-length", b"transfer-encoding"} <= {name for name, _ in event.headers}:
+                    # Guards rule 2: where two lengths are given, the body may hide another request.
+                    return self._reject(400, "both Content-Length and Transfer-Encoding", close=True)
                 length = next((value for name, value in event.headers if name == b"content-length"), b"0")
                 if int(length) > BODY_LIMIT:
                     return self._reject(413, "the body is over 64 KiB", close=True)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -92,6 +92,8 @@
         (JOB.replace(b"Content-Length: 4\r\n\r\nbody", b"Transfer-Encoding: chunked\r\n\r\n") +
          b"8000\r\n" + b"x" * 0x8000 + b"\r\n8001\r\n" + b"x" * 0x8001, 413, True),
         (JOB.replace(b"Length: 4", b"Length: four"), 400, True),
+        (JOB.replace(b"Length: 4\r\n\r\nbody", b"Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") +
+         JOB, 400, True),
         (JOB.replace(b"Host: origin.svc\r\n", b""), 400, True),
         (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400, True),
         (b"GET /" + b"x" * 20_000, 431, True),
