Close on clients that say nothing, ask once and stay, or send what can't be read

Counters by kind of connection (a probe, not kept) showed 194 of them to be health checks that had been answered and stayed, and 50 that never sent a request; instant repeats of rejected requests kept theirs too (600 a second). At fault in front.py: a begun request had 10 s, a silent connection 120 s, swept once a second, and whatever had been idle longest went first, usual clients' kept connections before the silent ones. Now: 2 s for a request, the first from the accept; health checks, rejections and refusals for want of room cost the connection; never-used ones go first; a refused 60 MB body is read away into one shared buffer, within 5 s of the accept. Ruled out: CPU (0.46 of a core at most, 0.85 allowed) and memory (22 of 80 MB). The same probes showed what is left of the loss: from 9 s on the fleet itself is full and stays so, with a fifth of all jobs late and a third refused.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -52,7 +52,7 @@
 
     def start(self) -> None:
         """Start all that runs for as long as the node does."""
-        for task in (self.drive, self.front.run, self.watch.run, self.sweep):
+        for task in (self.drive, self.front.run, self.front.sweep, self.watch.run, self.sweep):
             self._nursery.start_soon(task)
 
     def _wake(self) -> None:
@@ -80,7 +80,6 @@
             await trio.sleep(1.0)
             self.pool.sweep()
             self.lists.sweep()
-            self.front.sweep()
 
     async def obey_signals(self, signals: AsyncIterator[int]) -> None:
         """SIGHUP: read the configuration again. SIGTERM, SIGINT: finish what was taken, then end the node."""
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 
 import trio
@@ -12,11 +13,14 @@
 from burlmoor.net.stream import OUT_OF_SOCKETS, Stream
 
 _RING_IN, _RING_OUT = 16 * 1024, 128 * 1024
-_LINGER = 1.0  # seconds that a rejected client may still write before its connection is closed
-_DRAIN = 5.0  # seconds that a client may take to read the last answer of its connection
-_BEGUN_LIMIT = 10.0  # seconds that a request may take to come in
-_IDLE_LIMIT = 120.0  # seconds that a connection may lie idle
-_SPARE_AFTER = 2.0  # seconds after which one may be closed to make room for others
+_REQUEST_LIMIT = 2.0  # seconds that a request may take to come in, the first one counted from the accept
+_DRAIN = 5.0  # seconds that a client may take to read an answer
+_IDLE_LIMIT = 120.0  # seconds that a connection may lie idle once it has been used
+_LINGER, _LINGER_BYTES = 1.0, 8 << 20  # how long and how much a rejected client may still write
+_LINGER_BODY, _BODY_BYTES = 5.0, 64 << 20  # the same for an announced body, counted from the accept
+# Seconds after which a connection may be closed to make room for others.
+_SPARE_SILENT, _SPARE_BEGUN, _SPARE_IDLE = 0.1, 1.0, 0.25
+_SWEEP = 0.2
 _BACKLOG = 1024
 _KEPT_FOR_CALLBACKS = 8  # one in so many of the connections
 _BACK_IN = "0.5"  # seconds after which a client that found no room may come again
@@ -33,13 +37,35 @@
         self._scope = trio.CancelScope()
         self._advancing = False
         self._room = trio.Event()
-        self.since = trio.current_time()
+        self.used = False  # whether a whole request has come
+        self._accepted = self.since = trio.current_time()  # `since`: the accept, a request's begin, an answer
 
     @property
     def idle(self) -> bool:
         """Whether it lies between requests."""
         return self._http.idle and not self._stream.inbound and not self._stream.outbound
 
+    @property
+    def limit(self) -> float:
+        """How many seconds it may go on as it is."""
+        if self.waiting or self._finished:  # a job has its deadline, and what is finished ends by itself
+            return math.inf
+        if self.unsent:
+            return _DRAIN
+        return _IDLE_LIMIT if self.used and self.idle else _REQUEST_LIMIT
+
+    @property
+    def spare_after(self) -> float:
+        """How many seconds it keeps its place where connections run out.
+
+        A usual client writes its first request at once: who has not in a moment is most likely none.
+        """
+        if self.waiting or self.unsent:
+            return math.inf
+        if self._finished or (self.idle and not self.used):
+            return _SPARE_SILENT
+        return _SPARE_IDLE if self.idle else _SPARE_BEGUN
+
     @property
     def unsent(self) -> bool:
         """Whether part of an answer still waits to be written."""
@@ -53,6 +79,8 @@
     def end(self) -> None:
         """Close the connection soon."""
         self._scope.cancel()
+        if self._finished and not self.unsent:
+            self._stream.close()
 
     def drop(self) -> None:
         """Close the connection now; a client that waits on it has no answer to come."""
@@ -90,8 +118,7 @@
                 with trio.move_on_after(_DRAIN):
                     await self._stream.drain()
                 if self._http.unread:
-                    with trio.move_on_after(_LINGER):
-                        await self._linger()
+                    await self._linger()
         except (OSError, BufferError):
             pass  # the peer is gone
         except Exception as error:
@@ -112,11 +139,16 @@
             self.advance()
 
     async def _linger(self) -> None:
-        """Let the answer reach a client that still writes: closing at once would reset the connection."""
+        """Let the answer reach a client that still writes: closing at once would reset the connection.
+
+        A body that was announced is read away whole, since its client may read only once it has written.
+        """
         self._stream.end_sending()
-        self._stream.inbound.take()
-        while await self._stream.receive():
-            self._stream.inbound.take()
+        until, most = trio.current_time() + _LINGER, _LINGER_BYTES
+        if self._http.refused_body:
+            until, most = self._accepted + _LINGER_BODY, _BODY_BYTES
+        with trio.move_on_at(until):
+            await self._stream.skip(most)
 
     def advance(self) -> None:
         """Take in what was read, as far as requests may be taken."""
@@ -125,7 +157,7 @@
         self._advancing = True
         try:
             while not self._http.busy and not self._http.closing:
-                if self._http.idle:
+                if self.used and self._http.idle:
                     self.since = trio.current_time()
                 asked = self._http.receive(self._stream.inbound.take())
                 if asked is None:
@@ -138,21 +170,28 @@
         self._room.set()
 
     def _take(self, asked: JobAsked | CallBack | ReadyAsked | Rejected) -> None:
+        self.used = True
         match asked:
             case JobAsked():
                 if not self._front.room():
+                    # Its place is what is short: it goes to those that come behind, call-backs among them.
+                    self._http.closing = True
                     self._respond(503, b"", [("Retry-After", _BACK_IN)])
                     return
                 core = self._front.core
                 self._job = core.take(self, asked.request_id, asked.request, asked.payload)
                 if self._job is None:
+                    self._http.closing = True
                     self._respond(400, b"Request-Id is in use\n")
                 else:
                     self._front.waiting += 1
             case CallBack():
                 taken = callbacks.take(self._front.core, asked.body)
+                self._http.closing = self._http.closing or not taken
                 self._respond(*((204, b"") if taken else (400, b"not a job event\n")))
             case ReadyAsked():
+                # Guards against a crowd that asks once and stays: a check needs no connection that lasts.
+                self._http.closing = True
                 ready = not self._front.stopping
                 self._respond(*((200, b"ready\n") if ready else (503, b"stopping\n")))
             case Rejected():
@@ -176,6 +215,7 @@
     def _respond(self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None) -> None:
         if self._front.stopping:
             self._http.closing = True
+        self.since = trio.current_time()
         self._send(self._http.answer(status, body, headers or ()))
         if self._http.closing:
             self._scope.cancel()
@@ -289,15 +329,14 @@
         return self.taking and self.waiting < self._size - max(4, self._size // _KEPT_FOR_CALLBACKS)
 
     def _spare(self) -> bool:
-        """End the connection that has been idle, or slow to write its request, longest; True if one was."""
-        before = trio.current_time() - _SPARE_AFTER
-        spare = [link for link in self._links if not link.waiting and (link.idle or link.since < before)]
+        """End a connection to make room: of those that were never used, else of all, the one longest so."""
+        now = trio.current_time()
+        spare = [link for link in self._links if now > link.since + link.spare_after]
         if not spare:
             return False
-        # The oldest first: one that has just been accepted is idle only until its request is read.
-        oldest = min(spare, key=_since)
-        oldest.end()
-        self._links.discard(oldest)
+        longest = min(spare, key=lambda link: (link.used, link.since))
+        longest.end()
+        self._links.discard(longest)
         return True
 
     @property
@@ -305,12 +344,12 @@
         """Whether part of an answer still waits to be written on some connection."""
         return any(link.unsent for link in self._links)
 
-    def sweep(self) -> None:
-        """End what has been idle too long, or began a request and does not go on with it."""
-        now = trio.current_time()
-        for link in list(self._links):
-            limit = _IDLE_LIMIT if link.idle else _BEGUN_LIMIT
-            if not link.waiting and now > link.since + limit:
+    async def sweep(self) -> None:
+        """End what says nothing, or does not go on with what it began, in time for its peer to notice."""
+        while True:
+            await trio.sleep(_SWEEP)
+            now = trio.current_time()
+            for link in [link for link in self._links if now > link.since + link.limit]:
                 link.end()
 
     def end_idle(self) -> None:
@@ -322,7 +361,3 @@
         """Stop listening."""
         trio.lowlevel.notify_closing(self._sock)
         self._sock.close()
-
-
-def _since(link: Link) -> float:
-    return link.since
--- a/burlmoor/net/listener.py
+++ b/burlmoor/net/listener.py
@@ -81,6 +81,7 @@
         self._asked = False
         self._bodyless = False  # an answer to HEAD tells the length of a body that it does not carry
         self.closing = False  # nothing more is read from this connection
+        self.refused_body = False  # whether a body was refused from its head
 
     @property
     def busy(self) -> bool:
@@ -89,8 +90,9 @@
 
     @property
     def unread(self) -> bool:
-        """Whether the client may still be writing a request that is not read to its end."""
-        return self._http.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        """Whether there is, or may still come, what is not read here."""
+        ended = self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return not ended or bool(self._http.trailing_data[0])
 
     @property
     def idle(self) -> bool:
@@ -104,7 +106,7 @@
                 self._http.receive_data(data)
             return self._next()
         except h11.RemoteProtocolError as error:
-            return self._reject(error.error_status_hint, str(error), close=True)
+            return self._reject(error.error_status_hint, str(error))
 
     def _next(self) -> Asked | None:
         while True:
@@ -113,16 +115,19 @@
                 self._head = event
                 if {b"content-length", b"transfer-encoding"} <= {name for name, _ in event.headers}:
                     # Guards rule 2: where two lengths are given, the body may hide another request.
-                    return self._reject(400, "both Content-Length and Transfer-Encoding", close=True)
+                    return self._reject(400, "both Content-Length and Transfer-Encoding")
                 length = next((value for name, value in event.headers if name == b"content-length"), b"0")
                 if int(length) > BODY_LIMIT:
-                    return self._reject(413, "the body is over 64 KiB", close=True)
+                    self.refused_body = True
+                    return self._reject(413, "the body is over 64 KiB")
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if len(self._body) > BODY_LIMIT:
-                    return self._reject(413, "the body is over 64 KiB", close=True)
+                    return self._reject(413, "the body is over 64 KiB")
             elif isinstance(event, h11.EndOfMessage):
                 asked = self._route()
+                if isinstance(asked, Rejected):
+                    return self._reject(asked.status, asked.reason)
                 self._note_method()
                 self._head, self._body = None, bytearray()
                 self._asked = True
@@ -139,10 +144,11 @@
     def _note_method(self) -> None:
         self._bodyless = self._head is not None and self._head.method == b"HEAD"
 
-    def _reject(self, status: int, reason: str, close: bool = False) -> Rejected:
+    def _reject(self, status: int, reason: str) -> Rejected:
         self._asked = True
         self._note_method()
-        self.closing = self.closing or close
+        # Guards against clients that stay, or send the same again at once: each costs them a connection.
+        self.closing = True
         return Rejected(status, reason)
 
     def _route(self) -> Asked:
--- a/burlmoor/net/stream.py
+++ b/burlmoor/net/stream.py
@@ -12,6 +12,7 @@
 from burlmoor.net.ring import Ring
 
 _CHUNK = 16384
+_SCRATCH = bytearray(128 * 1024)  # takes what is read only to be thrown away
 OUT_OF_SOCKETS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
@@ -56,6 +57,20 @@
             self.inbound.write(data)
         return bool(data)
 
+    async def skip(self, limit: int) -> None:
+        """Read and forget until the peer ends, at most `limit` bytes or a little more."""
+        while limit > 0:
+            try:
+                await trio.lowlevel.wait_readable(self._open())
+                count = self._open().recv_into(_SCRATCH)
+            except (BlockingIOError, InterruptedError):
+                continue
+            except trio.ClosedResourceError:
+                return
+            if not count:
+                return
+            limit -= count
+
     def send(self, data: bytes) -> None:
         """Write what the kernel takes now and queue the rest; OSError or BufferError if it cannot go."""
         if not self.outbound:
