Give each key four homes over all zones, and leave jobs where executors work

At fault in decide.py: Reach.home put near executors first, so that each zone had homes of its own and nearly every executor fetched nearly every key from a store of limited capacity; and _check moved each repeatable job that had not started within some 100 ms, though most ran all the same. A move is kept where an executor has told nothing for 3 s: it may not be working at all.

--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -24,16 +24,17 @@
 ROUND_TICKS = 3.0  # a round gathers jobs for about this many ticks, jittered by half
 MISSES = 4  # a round ends after this many jobs in a row found no place
 SAMPLE = 4  # executors drawn per job, beside as many that had a slot free a moment ago
-KEY_HOMES = 8  # executors in a key's order: a job goes to the first of them that have room
+KEY_HOMES = 4  # executors that may get a key's jobs: each more of them has to fetch it
 BANDS = 5  # complexity classes, by the hint's size against the mean
 SKILL_HALF = 8000.0  # evidence on speed and stability halves in this time
 DEGRADE = 0.25  # aims give way by at most this share before jobs are refused
 SHARPNESS = 4.0  # how suddenly the risk of a miss rises as the expected finish nears the aim
 TASTE = 0.05  # what a preference among executors weighs beside the chance to be in time
-FETCH = 0.5  # what the share of a slot's time spent fetching a key weighs beside it: others wait meanwhile
+FETCH = 2.0  # what the share of a slot's time spent fetching a key weighs beside it: others wait meanwhile
 SCOUTS = 3  # probes ahead of a job that must not run twice, and how often, where they are cheap
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
 CAUTION = 0.4  # the share of a cold executor's budget that the nodes together plan to use
+MUTE = 3000.0  # an executor that has told nothing for this long may not be working
 SILENCE = 1.5  # an attempt silent for this many progress intervals is taken to hang
 
 
@@ -70,6 +71,7 @@
         self.room = max(
             1.0, self.weight
         )  # own slots that may be out: prompt starts raise it, late ones lower
+        self.heard = -math.inf  # when it last told of a start or progress, or served
         self.overdue = 0  # own attempts that should have started by now
         self.slow, self.clean, self.delay = Mean(), Mean(), Mean()
         self.cells: dict[int, Mean] = defaultdict(Mean)
@@ -269,7 +271,7 @@
         return drawn + (rng.choices(self.far, cum_weights=self.far_sums, k=far) if self.far else [])
 
     def home(self, key: str) -> list[Worker]:
-        """A key's executors, near ones first, in an order that all nodes with the same list share."""
+        """A key's executors, near or far, in an order that all nodes with the same list share."""
         if key not in self.homes:
             mark = crc32(key.encode())
 
@@ -277,8 +279,8 @@
                 # Rendezvous hashing by weight: a change of the list moves no more keys than it must.
                 return ((mark ^ worker.mark) * 2654435761 % 2**32) / worker.weight
 
-            near, far = (heapq.nsmallest(KEY_HOMES, workers, order) for workers in (self.near, self.far))
-            self.homes[key] = near + far
+            # In all zones: homes of each zone's own made every zone fetch every key, and filled the store.
+            self.homes[key] = heapq.nsmallest(KEY_HOMES, self.near + self.far, order)
         return self.homes[key]
 
 
@@ -610,9 +612,11 @@
                 attempt.overdue = True
                 attempt.worker.overdue += 1
                 self.book.learn_delay(attempt.worker, now - attempt.sent, now, started=False)
-                # Guards against moves that feed an overload: they pay while a prompt start is to be had.
+                # Guards against moves that feed an overload: they pay while a prompt start is to be had, and
+                # from an executor that tells nothing. Where one works, what was moved may run there all the
+                # same, and its copy fetches the key elsewhere.
                 pays = self.book.promptness.read(now, SKILL_HALF, 1.0) * self.limits.attempts > 1.0
-                if pays and job.job_class.effect is m.Effect.REPEATABLE:
+                if pays and attempt.worker.heard < now - MUTE and job.job_class.effect is m.Effect.REPEATABLE:
                     self._move(job, attempt, now)
             else:
                 self.book.learn_clean(attempt.worker, False, now)
@@ -637,6 +641,7 @@
         job, attempt = found
         attempt.started, attempt.look_at = now, now + self.silence
         worker = attempt.worker
+        worker.heard = now
         worker.overdue -= attempt.overdue
         attempt.overdue = False
         self.book.learn_delay(worker, now - attempt.sent, now)
@@ -652,6 +657,7 @@
             return
         job, attempt = found
         attempt.look_at = now + self.silence
+        attempt.worker.heard = now
         if attempt.started is not None and event.share > 0.0:
             whole = (now - attempt.started) / min(1.0, event.share)
             self.book.learn_run(attempt.worker, job, whole, now, 0.5)
@@ -680,6 +686,8 @@
         job, attempt = found
         worker = attempt.worker
         attempt.ended = event.outcome
+        if event.outcome is m.Outcome.SERVED:
+            worker.heard = now
         if attempt.overdue:
             self.book.learn_delay(worker, now - attempt.sent, now, started=False)
         worker.overdue -= attempt.overdue
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -125,6 +125,25 @@
     assert len(homes) == 1
 
 
+def test_a_key_has_the_same_home_for_nodes_in_all_zones() -> None:
+    # Guards against every zone fetching every key: the store they come from serves only so many at a time.
+    listed = [*entries(4), *(m.Entry(f"b{n}", zone="b", weight=4.0, kind="std") for n in range(4))]
+    homes = set()
+    for zone in ("a", "b"):
+        talk = Talk(settings(zone=zone), listed)
+        homes.add(tuple(talk.placed(ref, "keyed", key=f"{ref:04x}").executor for ref in range(1, 9)))
+    assert len(homes) == 1
+
+
+def test_what_waits_at_an_executor_that_works_stays_there() -> None:
+    # Guards against feeding an overload: what was moved may run at both, and its key is fetched once more.
+    talk = Talk(settings(), entries(1))
+    first, _ = talk.placed(1, work=2000.0), talk.placed(2, work=2000.0)
+    talk.tell(m.Members(m.Form.CHANGES, entries(2)[1:]), m.Started(1, 0, first.executor))
+    talk.run(500.0)
+    assert len(talk.all(m.Send, 2)) == 1
+
+
 def test_probes_look_ahead_only_of_what_must_not_run_twice() -> None:
     limits = m.Limits(attempts=4, cancel=True, probes=True)
     talk = Talk(settings(limits=limits), entries(6))
