Let clients use their connections for 2 s after SIGTERM, so no gap opens in a rollout

The second node is told to stop at 16.6 s, closes on its clients at 17.4 and is gone at 17.7; the first is ready again only at 18.3, so for a second nobody served. Clients use their connections as long as these stay open (PROTOCOL), and SIGKILL comes 3.7 s after SIGTERM at the earliest. At fault in __main__.py and front.py: every answer after SIGTERM closed its connection. Now they close 2 s after the signal; what came after 0.7 s is answered by 3.3 s, since SIGKILL would lose it.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -24,7 +24,9 @@
 _FOR_DISCOVERY = 4
 _TARGETS_PART = 0.3  # of the rest: a forward holds a connection only until its 202
 _IDLE_PART = 0.4  # of the time after which a target's machine closes an idle connection
-_KEEP_SERVING = 0.7  # seconds after SIGTERM in which clients may still come
+# Seconds after SIGTERM: until clients may still come; until they may go on using the connections they have;
+# and when whatever came after the first of these is answered, well before a SIGKILL (3.7 at the earliest).
+_CLIENTS_COME, _CLIENTS_STAY, _ALL_ANSWERED = 0.7, 2.0, 3.3
 
 
 class Node:
@@ -111,8 +113,13 @@
             return
         self._log("stopping", open=self.core.open_jobs)
         self.front.stopping = True
-        await trio.sleep(_KEEP_SERVING)
-        self.front.taking = False
+        began = self._clock()
+        await trio.sleep(_CLIENTS_COME)
+        # Guards rule 1: SIGKILL would lose what came late and is not answered by then.
+        self.core.answer_by = began + 1000.0 * _ALL_ANSWERED
+        # Guards against a gap in service: the node restarted before this one may not be back yet.
+        await trio.sleep(_CLIENTS_STAY - _CLIENTS_COME)
+        self.front.closing, self.front.taking = True, False
         # Call-backs for what is open still come in, so the node listens until the last job is answered.
         # An answer counts by its last byte: what a slow client has not read yet is not cut off.
         while self.core.open_jobs or self.forwards.closing or self.front.unsent:
--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -121,6 +121,7 @@
         self._node = Dispatcher(settings, seed)
         self._longest = {each.name: each.deadline for each in settings.classes}
         self._once = {each.name for each in settings.classes if each.effect is m.Effect.ONCE}
+        self.answer_by = math.inf  # a node that stops answers what it still takes by then
         self._numbers = 0
         self._jobs: dict[int, Job] = {}
         self._ids: dict[str, Job] = {}
@@ -145,13 +146,14 @@
             return None
         self._numbers += 1
         # Guards against a figure that holds a job, and a node that stops, far beyond what its class may wait.
-        patience = min(request.patience, self._longest.get(request.job_class, request.patience))
+        patience = min(request.patience, self._longest.get(request.job_class, math.inf))
         job = Job(
             id=request_id,
             number=self._numbers,
             listener=listener,
             payload=payload,
-            deadline=self.clock() + patience,
+            # The module is not told of a node's stop: what is missing would look like time spent elsewhere.
+            deadline=min(self.clock() + patience, self.answer_by),
             once=request.job_class in self._once,
         )
         self._jobs[job.number] = self._ids[request_id] = job
@@ -234,7 +236,7 @@
         for job in late:
             # Guards rule 1 where the module has left a job past its deadline without an answer.
             if not job.over:
-                self._say("answered-at-deadline", id=job.id)
+                self._say("answered-at-stop" if now >= self.answer_by else "answered-at-deadline", id=job.id)
                 self._answer(job, Failed() if job.may_have_run() else FixedResponse())
                 self._post(m.Gone(job.number))
                 self._forget(job)
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -213,7 +213,7 @@
         self.advance()
 
     def _respond(self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None) -> None:
-        if self._front.stopping:
+        if self._front.closing:
             self._http.closing = True
         self.since = trio.current_time()
         self._send(self._http.answer(status, body, headers or ()))
@@ -258,7 +258,8 @@
         self._size = size
         self._links: set[Link] = set()
         self._ended = trio.Event()
-        self.stopping = False  # answers close their connections, and the front is told to stay away
+        self.stopping = False  # whether those who ask are told to stay away
+        self.closing = False  # whether answers close their connections
         self.taking = True  # whether new jobs are taken
         self.waiting = 0  # clients that wait for an answer
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
@@ -369,6 +370,26 @@
     play(story)
 
 
+def test_a_stopping_node_serves_on_until_its_clients_have_gone_elsewhere() -> None:
+    async def story(made: Stage) -> None:
+        wire = await made.submit("once", "a1")
+        made.nursery.start_soon(made.node.stop)
+        await made.until(lambda: made.node.core.answer_by < float("inf"))
+        for number in range(3):  # one connection carries them all
+            await made.until(lambda jobs=number + 1: len(made.jobs) == jobs)  # type: ignore[misc]
+            await made.tell("done", "fine")
+            answer = await made.answer(wire)
+            assert (answer.status, answer.headers.get("connection")) == (200, None)
+            await made.ask(wire, "once", f"b{number}", 5000)
+        # The last one is never done: it is answered before the node may be killed.
+        assert (await made.answer(wire)).status == 502
+        await made.until(lambda: made.ended)
+
+    began = time.monotonic()
+    play(story)
+    assert time.monotonic() - began < 4.5
+
+
 def test_clients_that_wait_leave_room_for_call_backs() -> None:
     async def story(made: Stage) -> None:
         wires = [await made.submit("once", f"a{number}", 900) for number in range(60)]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -71,6 +71,7 @@
                 process.send_signal(signal.SIGHUP)
                 await made.until(lambda: len(made.asked) > asked)
                 assert made.asked[-1] == "/registry/instances"
+                await made.publish(4, e0="active", e1="active")
                 process.send_signal(signal.SIGTERM)
                 process.send_signal(signal.SIGHUP)
                 while await ready(made) == 200:
