Leave out executors that fail at once, but for one test job at a time

Checked: the ends of all forwards were written out (a probe, not kept): 500, or 202 and a call-back 'failed' right after 'started'. Ruled out: broken connections (none), and our reading of outcomes. At fault in decide.py: errors count only in the stability, a mean over 8 s that rises again by itself, while an executor that fails at once is always free and so among the first in each draw.

--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -35,9 +35,14 @@
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
 CAUTION = 0.4  # the share of a cold executor's budget that the nodes together plan to use
 MUTE = 3000.0  # an executor that has told nothing for this long may not be working
+FAULTS = 2  # an executor with so many faults in a row is left out, but for a test now and then
+TEST_AFTER = 500.0  # the first test; each that fails doubles the wait for the next, up to 16 times
 SILENCE = 1.5  # an attempt silent for this many progress intervals is taken to hang
 
 
+_FAULTS = (m.Outcome.ERROR, m.Outcome.RESET, m.Outcome.UNREACHABLE)
+
+
 class Mean:
     """A mean that forgets: old evidence halves in weight every half-life and yields to the prior."""
 
@@ -72,6 +77,7 @@
             1.0, self.weight
         )  # own slots that may be out: prompt starts raise it, late ones lower
         self.heard = -math.inf  # when it last told of a start or progress, or served
+        self.faults, self.test_at = 0, -math.inf  # faults in a row; when it may be tested
         self.overdue = 0  # own attempts that should have started by now
         self.slow, self.clean, self.delay = Mean(), Mean(), Mean()
         self.cells: dict[int, Mean] = defaultdict(Mean)
@@ -272,6 +278,8 @@
 
     def home(self, key: str) -> list[Worker]:
         """A key's executors, near or far, in an order that all nodes with the same list share."""
+        if not key:
+            return []
         if key not in self.homes:
             mark = crc32(key.encode())
 
@@ -280,7 +288,7 @@
                 return ((mark ^ worker.mark) * 2654435761 % 2**32) / worker.weight
 
             # In all zones: homes of each zone's own made every zone fetch every key, and filled the store.
-            self.homes[key] = heapq.nsmallest(KEY_HOMES, self.near + self.far, order)
+            self.homes[key] = heapq.nsmallest(2 * KEY_HOMES, self.near + self.far, order)
         return self.homes[key]
 
 
@@ -372,6 +380,7 @@
         self.waiting: dict[int, Job] = {}
         self.fresh: dict[Worker, None] = {}  # executors where a slot was free, the latest last
         self.round_at = math.inf
+        self.wary = self.strict = True  # whether faults keep jobs away from an executor
         self.agenda: list[tuple[float, int, Job | None]] = []  # time, order, job to check (None: subscribe)
         self.entries, self.timer_at = 0, math.inf
         self.silence = SILENCE * settings.progress_every if settings.progress_every > 0 else math.inf
@@ -468,6 +477,9 @@
         self.round_at = math.inf
         queue = [job for job in self.waiting.values() if job.waiting and not job.done]
         queue.sort(key=lambda job: job.standing + AGING * job.rounds, reverse=True)
+        faults = [worker.faults for worker in self.members.workers.values() if worker.live]
+        self.wary = 2 * sum(each > 0 for each in faults) <= len(faults)
+        self.strict = 2 * sum(each >= FAULTS for each in faults) <= len(faults)
         pace, fleet = self.book.pace(now), self.book.fleet_slow.read(now, SKILL_HALF, 1.0)
         queue = self._shed(queue, fleet, now)
         for job in queue:  # urgent: one more round of waiting would lose its aim
@@ -512,6 +524,20 @@
         self.gate.finish(job, self.rng.uniform(0.5, 1.0) * self.limits.max_retry_after)
         self._forget(job)
 
+    def _trusted(self, job: Job, worker: Worker, now: float) -> bool:
+        """Whether the job may go there for all that is known of the executor's faults.
+
+        Guards against executors that fail at once: always free, they would draw job after job. One at a time
+        tests whether they have recovered, and it is one that may be sent again. Where most of the fleet looks
+        so, the trouble is more likely on our own side, and none is left out.
+        """
+        if worker.faults < FAULTS:
+            return not (worker.faults and self.wary and job.job_class.effect is m.Effect.ONCE)
+        if not self.strict:
+            return True
+        harmless = job.job_class.effect is m.Effect.REPEATABLE
+        return harmless and worker.slots <= 0.0 and now >= worker.test_at
+
     def _open(self, job: Job, drawn: list[Worker], now: float) -> Iterator[Worker]:
         """Those of the executors drawn that may have room for the job and that the rules allow."""
         tried = [attempt.worker for attempt in job.attempts]
@@ -519,13 +545,18 @@
             slots, memory = worker.slots + job.slots, worker.memory + job.memory
             fits = worker.slots <= 0.0 or (slots <= worker.room and memory <= worker.room)
             usable = worker.live and not worker.overdue and job.job_class.kind in (None, worker.kind)
-            if fits and usable and worker not in tried and self.gate.may_send(job, worker, now):
+            trusted = self._trusted(job, worker, now)
+            if fits and usable and trusted and worker not in tried and self.gate.may_send(job, worker, now):
                 yield worker
 
     def _place(self, job: Job, most_urgent: bool, now: float, pace: float) -> bool:
         """Send the job to the best of a few executors, if one is likely to finish it in time."""
         reach, prices = self.members.reach(job.job_class.kind), self.settings.prices
-        homes = reach.home(job.key) if job.key else []
+        # An executor that is left out is stood in for by the next in the key's order.
+        homes = reach.home(job.key)
+        if self.strict:
+            homes = [worker for worker in homes if worker.faults < FAULTS or now >= worker.test_at]
+        homes = homes[:KEY_HOMES]
         band = self.book.band(job.work, now)
         left = max(job.useful_until + self.degraded * job.aim - now, 1e-3)
         setup = self.book.setup(now) if job.key else 0.0
@@ -706,6 +737,12 @@
 
     def _learn(self, job: Job, attempt: Attempt, elapsed: float, now: float) -> None:
         worker, outcome = attempt.worker, attempt.ended
+        mute = outcome in (m.Outcome.CANCELLED, m.Outcome.TIMEOUT) and worker.heard < attempt.sent
+        if outcome is m.Outcome.SERVED:
+            worker.faults = 0
+        elif outcome in _FAULTS or (mute and now - attempt.sent > TEST_AFTER):
+            worker.faults += 1
+            worker.test_at = now + TEST_AFTER * 2.0 ** max(0, min(worker.faults - FAULTS, 4))
         if outcome is m.Outcome.SERVED:
             run = now - attempt.started if attempt.started is not None else elapsed
             if job.key:
@@ -719,7 +756,7 @@
             self.book.learn_clean(worker, now <= job.aim_at or slow < 1.5, now)
             if not worker.overdue:
                 self._freed(worker)
-        elif outcome in (m.Outcome.ERROR, m.Outcome.RESET, m.Outcome.UNREACHABLE):
+        elif outcome in _FAULTS:
             self.book.learn_clean(worker, False, now)
         elif outcome is m.Outcome.FULL:
             worker.delay.add(now, self.book.pace(now), self.book.pace(now), 2.0)
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -107,6 +107,28 @@
     assert len({send.executor for send in talk.all(m.Send)}) == 4
 
 
+@pytest.mark.parametrize("outcome", [m.Outcome.ERROR, m.Outcome.RESET, m.Outcome.UNREACHABLE])
+def test_an_executor_that_fails_at_once_is_left_out_and_tested(outcome: m.Outcome) -> None:
+    # Guards against a sink: always free, it drew a fifth of all jobs and failed them.
+    talk = Talk(listed=entries(1))
+    for ref in (1, 2):
+        talk.end(talk.placed(ref, work=50.0), outcome)
+    talk.tell(m.Members(m.Form.CHANGES, entries(2)[1:]))
+
+    def sent_to_bad() -> list[int]:
+        return [send.id for send in talk.all(m.Send) if send.executor == "a0"]
+
+    for ref in range(200, 206):  # the other one has no room for so many
+        talk.ask(ref, "once", work=1500.0)
+    talk.run(200.0)
+    assert len(sent_to_bad()) == 2
+    for ref in range(300, 310):
+        talk.ask(ref, work=1500.0)
+    talk.run(1000.0)
+    assert len(sent_to_bad()) == 3  # the test, and no second one while it is out
+    assert sent_to_bad()[2] >= 300
+
+
 def test_a_silent_worker_loses_stability_and_repeatable_work_moves() -> None:
     talk = Talk(settings(), entries(2))
     send = talk.placed(1, work=2000.0)
