Keep connections to executors for less time once one broke under a request

Checked: the kept connections look quiet before they are used (still_quiet), so nothing shows that they are dead; they had lain idle for less than four tenths of the told time. At fault in pool.py: the limit of that time was fixed at the start. Now a kept connection that breaks within 0.25 s of a request halves the idle time that is trusted, for 30 s, and once-only jobs take new connections meanwhile.

--- a/burlmoor/net/forwards.py
+++ b/burlmoor/net/forwards.py
@@ -89,6 +89,7 @@
         try:
             reply = await link.read()
         except BrokenReply:
+            self._pool.broken(link)
             link.close()
             return m.Outcome.RESET
         except BaseException:
@@ -100,7 +101,8 @@
 
     async def _written(self, forward: Forward) -> Link:
         """A connection to which the whole request has been written."""
-        fresh = False
+        # What must not run twice would be lost with a kept connection that turns out to be dead.
+        fresh = forward.job.once and self._pool.wary
         while True:
             target = self._group.live(forward.target)
             if target is None:
--- a/burlmoor/net/pool.py
+++ b/burlmoor/net/pool.py
@@ -8,6 +8,8 @@
 from burlmoor.net.target import BrokenReply, Reply, TargetConnection
 
 _LIMIT = 256 * 1024
+_STALE_WITHIN = 0.25  # seconds after a request is written in which a connection that was dead breaks
+_WARY = 30.0  # seconds for which a broken one tells how long others may lie idle
 
 
 class NotConnected(Exception):
@@ -25,7 +27,7 @@
         self._pool, self.dial, self._stream = pool, dial, stream
         self._http = TargetConnection(dial, _LIMIT)
         self.used = False
-        self.idle_since = 0.0
+        self.idle_since = self.taken_at = 0.0
 
     async def write(self, method: bytes, path: bytes, headers: list[tuple[str, str]], body: bytes) -> None:
         """Write a whole request; `NotSent` if it breaks before its last byte."""
@@ -79,8 +81,29 @@
     def __init__(self, idle_limit: float, connect_timeout: float, size: int) -> None:
         self.idle_limit, self._connect_timeout, self._size = idle_limit, connect_timeout, size
         self._idle: dict[str, list[Link]] = {}
+        self._shorter, self._shorter_until = idle_limit, 0.0
         self.open = 0
 
+    def _trusted(self) -> float:
+        """How long a connection may have lain idle and be used again."""
+        return self._shorter if trio.current_time() < self._shorter_until else self.idle_limit
+
+    @property
+    def wary(self) -> bool:
+        """Whether a kept connection has broken lately under the next request."""
+        return trio.current_time() < self._shorter_until
+
+    def broken(self, link: Link) -> None:
+        """A connection has broken before its answer: if it had been kept, keep others for less time.
+
+        Guards against peers that drop kept connections sooner than the settings say, and don't show it: what
+        is written to such a connection counts as perhaps run.
+        """
+        now = trio.current_time()
+        if link.used and now < link.taken_at + _STALE_WITHIN:
+            self._shorter = min(self._trusted(), 0.5 * (link.taken_at - link.idle_since))
+            self._shorter_until = now + _WARY
+
     async def take(self, dial: str) -> Link:
         """The freshest idle connection, or a new one; `NotConnected` in time if none comes up."""
         return self._reuse(dial) or await self.connect(dial)
@@ -90,8 +113,9 @@
         while idle:
             link = idle.pop()
             # What is written to a connection that its peer has closed would end as a reset.
-            if trio.current_time() - link.idle_since < self.idle_limit and link.quiet():
-                link.used = True
+            now = trio.current_time()
+            if now - link.idle_since < self._trusted() and link.quiet():
+                link.used, link.taken_at = True, now
                 return link
             link.close()
         return None
@@ -126,6 +150,7 @@
         except (NotSent, BrokenReply):
             if not link.used:
                 raise
+            self.broken(link)
             # Guards against a DELETE or a watch lost on a connection that had gone stale.
             link = await self.connect(dial)
             reply = await link.exchange(method, path)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -138,6 +138,24 @@
     play(story, act)
 
 
+def test_a_kept_connection_that_broke_makes_others_be_kept_for_less_time() -> None:
+    # Guards against peers that drop kept connections early and unseen: each lost the job written to it.
+    async def story(made: Stage) -> None:
+        pool, dial = made.node.pool, made.dials["e0"]
+        first, second = await pool.take(dial), await pool.take(dial)
+        for link in (first, second):
+            pool.keep(link)
+        await trio.sleep(0.05)
+        again = await pool.take(dial)
+        assert again is second
+        assert not pool.wary
+        pool.broken(again)
+        assert pool.wary
+        assert await pool.take(dial) is not first
+
+    play(story)
+
+
 def test_a_silent_executor_is_given_up_by_the_deadline() -> None:
     async def story(made: Stage) -> None:
         wire = await made.submit("once", ms=600)
