End the longest idle connections where clients leave many lying

What stood out were some 118 connections a node that had carried one job and lay idle; clients opened a new one for each request and closed the old ones after 2 s or so. At fault in front.py: such connections might lie idle for 120 s. Now the longest idle ones end where more than four tenths of the places wait or lie idle after use.

--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -21,6 +21,7 @@
 # Seconds after which a connection may be closed to make room for others.
 _SPARE_SILENT, _SPARE_BEGUN, _SPARE_IDLE = 0.1, 1.0, 0.25
 _SWEEP = 0.2
+_KEPT = 0.4  # of the connections: as many may wait or lie idle after use, then the longest idle ones end
 _BACKLOG = 1024
 _KEPT_FOR_CALLBACKS = 8  # one in so many of the connections
 _BACK_IN = "0.5"  # seconds after which a client that found no room may come again
@@ -352,6 +353,14 @@
             now = trio.current_time()
             for link in [link for link in self._links if now > link.since + link.limit]:
                 link.end()
+            # Guards against clients that open a connection for each request and leave the last one lying: the
+            # places that they may hold here run out, and their next requests with them.
+            idle = sorted(
+                (link for link in self._links if link.used and link.idle), key=lambda link: link.since
+            )
+            for link in idle[: max(0, len(idle) + self.waiting - int(self._size * _KEPT))]:
+                if now > link.since + _SPARE_IDLE:
+                    link.end()
 
     def end_idle(self) -> None:
         """End every connection that lies between requests."""
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -352,6 +352,22 @@
     play(story, sockets=128)
 
 
+def test_clients_that_leave_connections_lying_lose_the_oldest() -> None:
+    async def story(made: Stage) -> None:
+        wires = []
+        for number in range(30):
+            wires.append(await made.submit("once", f"a{number}"))
+            await made.until(lambda jobs=number + 1: len(made.jobs) == jobs)  # type: ignore[misc]
+            await made.tell("done", "fine")
+            assert (await made.answer(wires[-1])).status == 200
+        await made.until(lambda: len(made.node.front._links) < 20)
+        assert await wires[0].read() is None
+        await made.ask(wires[-1], "once", "b")
+        await made.until(lambda: len(made.jobs) == 31)
+
+    play(story, sockets=128)
+
+
 def test_more_connections_than_sockets_wait_their_turn() -> None:
     async def story(made: Stage) -> None:
         idle = [await made.client() for _ in range(80)]
