--- a/burlmoor/net/listener.py
+++ b/burlmoor/net/listener.py
@@ -19,6 +19,7 @@
 _ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
 _FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _WHOLE = re.compile(r"[0-9]{1,9}")
+_REASON = 100  # characters of it
 _MOST_SLOTS = 64.0  # no executor has as many
 _NO_CONTENT = h11.Response(status_code=204, headers=[])
 _CLOSE_NO_CONTENT = h11.Response(status_code=204, headers=[("Connection", "close")])
@@ -150,7 +151,8 @@
         self._note_method()
         # Guards against clients that stay, or send the same again at once: each costs them a connection.
         self.closing = True
-        return Rejected(status, reason)
+        # h11 quotes what it could not read, up to 16 KiB of it: that is for neither the log nor the answer.
+        return Rejected(status, reason[:_REASON])
 
     def _route(self) -> Asked:
         head = self._head
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -99,11 +99,13 @@
         (JOB.replace(b"Host: origin.svc\r\n", b""), 400),
         (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
         (b"GET /" + b"x" * 20_000, 431),
+        (b"\xa4" * 10_000 + b"\r\n\r\n", 400),
     ],
 )  # fmt: skip
 def test_bad_input_is_rejected_and_costs_its_connection(data: bytes, status: int) -> None:
     http, asked = fed(data)
     assert isinstance(asked, Rejected)
     assert asked.status == status
+    assert len(asked.reason) <= 100
     assert http.answer(status, asked.reason.encode()).startswith(b"HTTP/1.1 %d " % status)
     assert http.closing
