Tell the module what is left of a request's patience, not all of it

Checked: the answer came at the job's deadline, by Core.step's own fallback, and not by the module.

At fault: Core.take posted the whole patience, and Dispatcher._arrived adds it to the time of the step that hears of the job. On a busy machine that step comes late, and the module's give-up (a tick before its deadline) fell behind the core's deadline.

--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -71,6 +71,7 @@
     number: int
     listener: Listener
     payload: Any  # what the targets need of the request; the core does not look at it
+    taken: float
     deadline: float
     once: bool
     over: bool = False
@@ -147,13 +148,15 @@
         self._numbers += 1
         # Guards against a figure that holds a job, and a node that stops, far beyond what its class may wait.
         patience = min(request.patience, self._longest.get(request.job_class, math.inf))
+        now = self.clock()
         job = Job(
             id=request_id,
             number=self._numbers,
             listener=listener,
             payload=payload,
             # The module is not told of a node's stop: what is missing would look like time spent elsewhere.
-            deadline=min(self.clock() + patience, self.answer_by),
+            taken=now,
+            deadline=min(now + patience, self.answer_by),
             once=request.job_class in self._once,
         )
         self._jobs[job.number] = self._ids[request_id] = job
@@ -219,7 +222,7 @@
         late = self._expire(now)
         while self._timers and self._timers[0][0] <= now:
             self._events.append(m.Timer(heapq.heappop(self._timers)[1]))
-        events, self._events = self._events, []
+        events, self._events = [self._aged(event, now) for event in self._events], []
         if events:
             try:
                 actions = self._node.handle(now, events)
@@ -241,6 +244,16 @@
                 self._post(m.Gone(job.number))
                 self._forget(job)
 
+    def _aged(self, event: m.Event, now: float) -> m.Event:
+        """What is left of a request's patience when the module hears of it.
+
+        Guards against the module's give-up, and its advice to the client, coming after the deadline here.
+        """
+        job = self._jobs.get(event.id) if isinstance(event, m.Request) else None
+        if job is None or not isinstance(event, m.Request):
+            return event
+        return event._replace(patience=max(0.0, event.patience - (now - job.taken)))
+
     def _expire(self, now: float) -> list[Job]:
         late = []
         while self._limits and self._limits[0][0] <= now:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -62,9 +62,11 @@
             self.core.step()
         self.now = end
 
-    def ask(self, name: str = "lookup", patience: float = 5000.0, ref: str = "a1") -> tuple[Client, Job]:
+    def ask(
+        self, name: str = "lookup", patience: float = 5000.0, ref: str = "a1", work: float = 100.0
+    ) -> tuple[Client, Job]:
         client = Client()
-        job = self.core.take(client, ref, m.Request(0, name, patience, 100.0), None)
+        job = self.core.take(client, ref, m.Request(0, name, patience, work), None)
         assert job is not None
         return client, job
 
@@ -137,6 +139,19 @@
     assert world.core.open_jobs == 0
 
 
+def test_the_module_gives_up_before_the_deadline_and_its_advice_is_told() -> None:
+    world = World()
+    world.core.listed(m.Form.FULL, [])
+    world.run(100.0)
+    client, _ = world.ask(patience=300.0, work=1.0)
+    world.now += 20.0  # steps may come late
+    world.core.step()
+    world.run(300.0)
+    assert [type(each) for each in client.answers] == [FixedResponse]
+    assert client.answers != [FixedResponse()]
+    assert "answered-at-deadline" not in world.said
+
+
 def test_a_client_that_left_is_owed_nothing_and_its_forward_is_given_up() -> None:
     world = World()
     client, forward = world.placed()
