Keep call-back connections open that have not written yet while the node stops

Seen: of twelve runs of the whole suite side by side, two failed in the story of a stopping node: the second call-back's connection was closed without an answer.

Checked: the node had a job open, Front.end_idle runs every 20 ms from 2 s after SIGTERM on, and the call-back's connection was accepted before its bytes came, so that it counted as idle. An executor that is told nothing has lost a result unless it tries again.

At fault: Front.end_idle, which took every idle connection for one of a client that has been answered. Only used ones end now; one never used still ends by its own limit.

--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -363,8 +363,11 @@
                     link.end()
 
     def end_idle(self) -> None:
-        """End every connection that lies between requests."""
-        for link in [link for link in self._links if link.idle]:
+        """End every connection that lies idle after use.
+
+        Guards against the loss of a call-back whose connection has come, but not yet its first byte.
+        """
+        for link in [link for link in self._links if link.used and link.idle]:
             link.end()
 
     def close(self) -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -191,14 +191,15 @@
         }
         await wire.write(f"POST /{name}/0f HTTP/1.1", b"work", **head)
 
-    async def tell(self, state: str, result: str = "", job: int = -1, **more: Any) -> int:
+    async def tell(self, state: str, result: str = "", job: int = -1, pause: float = 0.0, **more: Any) -> int:
         """A call-back for one of the jobs taken so far; the status that the node answers."""
         name, message = self.jobs[job]
         event = {"id": message.headers["request-id"], "from": name, "state": state, "result": result, **more}
-        return await self.tell_raw(json.dumps(event).encode())
+        return await self.tell_raw(json.dumps(event).encode(), pause)
 
-    async def tell_raw(self, body: bytes) -> int:
+    async def tell_raw(self, body: bytes, pause: float = 0.0) -> int:
         wire = await self.client()
+        await trio.sleep(pause)
         await wire.write("POST /v1/job-events HTTP/1.1", body, Host="node", Connection="close")
         answer = await wire.read()
         assert answer is not None
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -396,7 +396,8 @@
         late = await made.submit(ref="a3")
         assert (await made.answer(late)).status == 503
         for job, wire in ((0, first), (1, idle)):
-            await made.tell("done", "fine", job=job)
+            # Guards against a call-back being closed on that is slow to write its first byte.
+            await made.tell("done", "fine", job=job, pause=0.1)
             answer = await made.answer(wire)
             assert (answer.status, answer.headers["connection"]) == (200, "close")
         await made.until(lambda: made.ended)
