Take an executor to have room for four jobs before its starts tell more

Checked, with a probe of connections, answers and room every 0.2 s: a worker's room began at its weight, which is 1 where the list tells no sizes, so twelve executors took twelve jobs until their starts had raised it; five is usual there.

At fault: Worker.room in decide.py. It now begins at 4, or the weight if that is more (5 and 6 measured no better).

--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -36,6 +36,7 @@
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
 CAUTION = 0.4  # the share of a cold executor's budget that the nodes together plan to use
 MUTE = 3000.0  # an executor that has told nothing for this long may not be working
+FIRST_ROOM = 4.0  # own slots at an executor before its starts tell more: with few, a new node queues up
 FAULTS = 2  # an executor with so many faults in a row is left out, but for a test now and then
 TEST_AFTER = 500.0  # the first test; each that fails doubles the wait for the next, up to 16 times
 SILENCE = 1.5  # an attempt silent for this many progress intervals is taken to hang
@@ -74,9 +75,8 @@
         self.weight = max(entry.weight, 1e-3)
         self.mark, self.live = crc32(entry.executor.encode()), entry.state is m.State.LIVE
         self.slots = self.memory = 0.0  # held by own attempts
-        self.room = max(
-            1.0, self.weight
-        )  # own slots that may be out: prompt starts raise it, late ones lower
+        # Own slots that may be out: prompt starts raise it, late ones lower it.
+        self.room = max(FIRST_ROOM, self.weight)
         self.heard = -math.inf  # when it last told of a start or progress, or served
         self.faults, self.test_at = 0, -math.inf  # faults in a row; when it may be tested
         self.overdue = 0  # own attempts that should have started by now
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -133,3 +133,12 @@
     talk.run(6000.0)
     answered = {a.id for a in talk.said if isinstance(a, m.Refuse | m.Fail)}
     assert answered == {0, 1, 2, 3, 4, 20}
+
+
+def test_a_node_that_has_just_started_uses_an_idle_fleet_whose_list_tells_no_sizes() -> None:
+    # Guards against a restarted node queueing, and then refusing, what its executors have room for.
+    talk = Talk(listed=entries(3, weight=1.0))
+    for ref in range(9):
+        talk.ask(ref, work=100.0)
+    talk.run(60.0)
+    assert len(talk.all(m.Send)) == 9
