Keep an executor free for a wide job that waits

At fault: Dispatcher._open in decide.py, which asks for all slots of a job at once, while narrow jobs take each slot that comes free. Now, where a job of three slots or more finds no room, the least filled of its executors gets nothing else in that round.

--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -22,6 +22,7 @@
 # Weights of priority, P = ALPHA * Tmin/T + BETA * N/Nmax + DELTA * Pgroup, and what a round's wait adds.
 ALPHA, BETA, DELTA, AGING = 1.0, 1.0, 8.0, 0.05
 ROUND_TICKS = 3.0  # a round gathers jobs for about this many ticks, jittered by half
+WIDE, SAVED = 2.5, 0.25  # for jobs of more slots an executor is kept free, of this share of all at most
 MISSES = 4  # a round ends after this many jobs in a row found no place
 SAMPLE = 4  # executors drawn per job, beside as many that had a slot free a moment ago
 KEY_HOMES = 4  # executors that may get a key's jobs: each more of them has to fetch it
@@ -380,6 +381,7 @@
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}
         self.fresh: dict[Worker, None] = {}  # executors where a slot was free, the latest last
+        self.saved: set[Worker] = set()  # executors kept free in this round for wide jobs that wait
         self.round_at = math.inf
         self.wary = self.strict = True  # whether faults keep jobs away from an executor
         self.agenda: list[tuple[float, int, Job | None]] = []  # time, order, job to check (None: subscribe)
@@ -489,6 +491,7 @@
             job.urgent = now + 2.0 * ROUND_TICKS * self.settings.tick + 1.5 * fleet * job.work > job.aim_at
         most_urgent = 2 * sum(job.urgent for job in queue) > len(queue)
         self.waiting, misses = {}, 0
+        self.saved.clear()
         for job in sorted(queue, key=lambda job: not job.urgent):
             job.waiting = misses >= MISSES or not self._place(job, most_urgent, now, pace)
             misses = misses + 1 if job.waiting else 0
@@ -547,6 +550,7 @@
             slots, memory = worker.slots + job.slots, worker.memory + job.memory
             fits = worker.slots <= 0.0 or (slots <= worker.room and memory <= worker.room)
             usable = worker.live and not worker.overdue and job.job_class.kind in (None, worker.kind)
+            usable = usable and worker not in self.saved
             trusted = self._trusted(job, worker, now)
             if fits and usable and trusted and worker not in tried and self.gate.may_send(job, worker, now):
                 yield worker
@@ -586,6 +590,7 @@
             loss -= TASTE * (fast * min(2.0, job.work / run) + roomy * (1.0 - worker.slots / worker.room))
             ranked.append((loss, looked, worker, fetch > 0.0))
         if not ranked:
+            self._save(job, drawn, now)
             return False
         scouts_pay = self.limits.probes and prices.probe * SCOUTS * mean_worth < TASTE
         if scouts_pay and job.job_class.effect is m.Effect.ONCE:
@@ -600,6 +605,21 @@
         self._send(job, best, fetches, now)
         return True
 
+    def _save(self, job: Job, drawn: list[Worker], now: float) -> None:
+        """Keep an executor free for a wide job that has found no room.
+
+        Guards against wide jobs never being sent: others would take each slot there as it comes free.
+        """
+        if job.slots <= WIDE or len(self.saved) >= SAVED * len(self.members.workers):
+            return
+        filled = [
+            worker
+            for worker in dict.fromkeys(drawn)
+            if worker.live and not worker.overdue and self.gate.may_send(job, worker, now)
+        ]
+        if filled:
+            self.saved.add(min(filled, key=lambda worker: worker.slots))
+
     def _send(self, job: Job, worker: Worker, missed_key: bool, now: float) -> None:
         look_at = now + (self.book.grace(worker.zone) if self.settings.tells_start else self.silence)
         started = None if self.settings.tells_start else now
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -139,6 +139,22 @@
         assert talk.all(m.Send, 2)
 
 
+def test_a_wide_job_is_not_kept_waiting_by_narrow_ones_that_come_and_go() -> None:
+    # Guards against jobs of many slots being refused on fleets that have room, only never enough at once.
+    patient = replace(GOLD, name="patient", aim=2000.0)
+    talk = Talk(settings(classes=(LOOKUP, patient)), entries(1))
+    for ref in range(16):
+        if ref == 4:
+            talk.ask(1000, "patient", work=300.0, slots=4.0)
+        talk.ask(ref, work=50.0)
+        talk.run(25.0)
+        for send in talk.all(m.Send, ref):
+            talk.tell(m.Started(ref, 0, send.executor))
+        for send in talk.all(m.Send, ref - 3):
+            talk.end(send, m.Outcome.SERVED)
+    assert talk.all(m.Send, 1000)
+
+
 def test_urgent_jobs_go_to_the_fast_and_bulk_to_the_slower() -> None:
     fleet = [
         *entries(2, kind="fast"),
