--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator, Mapping
+from urllib.parse import quote
 
 import trio
 
@@ -15,18 +16,22 @@
 from burlmoor.clock import Clock
 from burlmoor.core import Core
 from burlmoor.log import Log
+from burlmoor.net.control import Control
 from burlmoor.net.forwards import Forwards
 from burlmoor.net.front import Front
 from burlmoor.net.pool import Pool
+from burlmoor.net.serving import Service, Serving
+from burlmoor.net.stream import listening
 from burlmoor.net.target_group import TargetGroup, Watch
+from burlmoor.operators import Desk
 
 _SPARE_SOCKETS = 64  # descriptors for what is neither a client's nor a target's connection
 _FOR_DISCOVERY = 4
 _TARGETS_PART = 0.3  # of the rest: a forward holds a connection only until its 202
 _IDLE_PART = 0.4  # of the time after which a target's machine closes an idle connection
-# Seconds after SIGTERM: until clients may still come; until they may go on using the connections they have;
-# and when whatever came after the first of these is answered, well before a SIGKILL (3.7 at the earliest).
-_CLIENTS_COME, _CLIENTS_STAY, _ALL_ANSWERED = 0.7, 2.0, 3.3
+# Seconds after SIGTERM: until clients may still come, and when whatever came after that is answered, well
+# before a SIGKILL (3.7 at the earliest).
+_CLIENTS_COME, _ALL_ANSWERED = 0.7, 3.3
 
 
 class Node:
@@ -50,12 +55,20 @@
         self.core.targets, self.core.target_list = self.forwards, self.watch
         classes = [each.name for each in decisions.classes]
         self.group.start_from(given.known)
-        self.front = Front(self.core, classes, given.listen, sockets - targets, nursery, log)
+        self.service = Service()
+        sock = listening(given.listen, given.passed)
+        self.front = Front(self.core, classes, sock, sockets - targets, self.service, nursery, log)
+        by_hand = given.folder / f"{quote(given.name, safe='')}.by-hand.json" if given.folder else None
+        self.desk = Desk(self.group, self.service, by_hand, log)
+        self.desk.restore()
+        self.control = Control(self.desk, given.control, nursery, log) if given.control else None
 
     def start(self) -> None:
         """Start all that runs for as long as the node does."""
         for task in (self.drive, self.front.run, self.front.sweep, self.watch.run, self.sweep):
             self._nursery.start_soon(task)
+        if self.control is not None:
+            self._nursery.start_soon(self.control.run)
 
     def _wake(self) -> None:
         self._woken.set()
@@ -103,23 +116,22 @@
             self.group.start_from(new.known)
         self.watch.move(new.discovery)
         # `known` is older than what discovery has told since; the rest is built in at the start.
-        kept = ("name", "listen", "seed", "sockets", "settings")
+        kept = ("name", "listen", "control", "seed", "sockets", "settings")
         later = [name for name in kept if getattr(new, name) != getattr(self._given, name)]
         self._log("reloaded", discovery=new.discovery, needs_restart=later)
 
     async def stop(self) -> None:
         """Finish what was taken, then end the node. Told again, it changes nothing."""
-        if self.front.stopping:
+        if self.service.stopping:
             return
         self._log("stopping", open=self.core.open_jobs)
-        self.front.stopping = True
+        self.service.stop()
         began = self._clock()
         await trio.sleep(_CLIENTS_COME)
         # Guards rule 1: SIGKILL would lose what came late and is not answered by then.
         self.core.answer_by = began + 1000.0 * _ALL_ANSWERED
-        # Guards against a gap in service: the node restarted before this one may not be back yet.
-        await trio.sleep(_CLIENTS_STAY - _CLIENTS_COME)
-        self.front.closing, self.front.taking = True, False
+        while self.service.state < Serving.REFUSING:
+            await trio.sleep(0.02)
         # Call-backs for what is open still come in, so the node listens until the last job is answered.
         # An answer counts by its last byte: what a slow client has not read yet is not cut off.
         while self.core.open_jobs or self.forwards.closing or self.front.unsent:
--- a/burlmoor/config.py
+++ b/burlmoor/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import resource
+import socket
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -30,6 +31,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    control: str = ""
     limits: _Limits = msgspec.field(default_factory=_Limits)
     known: HostList | None = None
 
@@ -44,6 +46,9 @@
     sockets: int
     known: HostList | None
     settings: NodeSettings
+    control: tuple[str, int] | None = None  # where operators' calls come in
+    passed: int | None = None  # the descriptor of a socket that listens already
+    folder: Path | None = None  # what outlives this process, for the one that comes next
 
 
 def load(environment: Mapping[str, str], again: bool = False) -> Config:
@@ -72,6 +77,9 @@
     told = (environment.get("RELAY_DISCOVERY"), given.discovery)
     discovery = (told[1] or told[0] if again else told[0] or told[1]) or ""
     _address("discovery", discovery)
+    control = environment.get("RELAY_CONTROL") or given.control
+    passed = environment.get("RELAY_PASSED_SOCKET")
+    folder = environment.get("TMPDIR")
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     return Config(
         name=environment.get("RELAY_NAME") or given.name or "node",
@@ -81,9 +89,25 @@
         sockets=given.limits.sockets if hard == resource.RLIM_INFINITY else min(given.limits.sockets, hard),
         known=given.known,
         settings=settings,
+        control=_address("control", control) if control else None,
+        passed=None if not passed or again else _listening(passed),
+        folder=Path(folder) if folder else None,
     )
 
 
+def _listening(text: str) -> int:
+    """The descriptor of a TCP socket that listens; whoever passed it goes on owning what it is bound to."""
+    try:
+        sock = socket.socket(fileno=int(text))
+    except (ValueError, OSError) as error:
+        raise BadConfig(f"RELAY_PASSED_SOCKET: {text!r} is no socket") from error
+    listens = sock.type == socket.SOCK_STREAM and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    number = sock.detach()
+    if not listens:
+        raise BadConfig(f"RELAY_PASSED_SOCKET: {text} does not listen")
+    return number
+
+
 def _address(field: str, text: str) -> tuple[str, int]:
     try:
         return address(text)
--- /dev/null
+++ b/burlmoor/net/control.py
@@ -0,0 +1,179 @@
+"""The operators' address: one call a connection, answered in time whatever the callers and the node do."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, Protocol
+
+import h11
+import msgspec
+import trio
+
+from burlmoor.core import Say
+from burlmoor.net.stream import OUT_OF_SOCKETS, Stream, listening
+
+_HEAD_LIMIT, _BODY_LIMIT = 4096, 4096
+_ANSWER_LIMIT = 16 * 1024
+_CALL_LIMIT = 0.7  # seconds that a call may take to come in: its answer is due within 1 s
+_LINGER = 0.1  # seconds for an answer to reach a caller that still writes
+_PLACES = 24  # calls at a time; the one that came first makes room
+_METHODS = {
+    "/ready": b"GET",
+    "/executors/disable": b"POST",
+    "/executors/enable": b"POST",
+    "/drain": b"POST",
+    "/undrain": b"POST",
+}
+_NAMED = frozenset(("/executors/disable", "/executors/enable"))
+
+
+class Call(NamedTuple):
+    """A call that can be meant; `name` is the executor's, where the call has one."""
+
+    path: str
+    name: str = ""
+
+
+class Result(NamedTuple):
+    """What a caller is told."""
+
+    status: int
+    told: dict[str, Any]
+
+
+class _Body(msgspec.Struct):
+    name: str
+
+
+_DECODER = msgspec.json.Decoder(_Body)
+
+
+class ControlConnection:
+    """Owns the HTTP state of one call. Knows no socket and no clock."""
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=_HEAD_LIMIT)
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+
+    def receive(self, data: bytes) -> Call | Result | None:
+        """Take in bytes; the call once it is whole, or the answer that ends it."""
+        try:
+            self._http.receive_data(data)
+            return self._next()
+        except h11.RemoteProtocolError as error:
+            return Result(error.error_status_hint, {"error": "not a call"})
+
+    def _next(self) -> Call | Result | None:
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > _BODY_LIMIT:
+                    return Result(413, {"error": "the body is too long"})
+            elif isinstance(event, h11.EndOfMessage):
+                return self._call()
+            else:
+                return None
+
+    def _call(self) -> Call | Result:
+        assert self._head is not None
+        path = self._head.target.split(b"?", 1)[0].decode("ascii", "replace")
+        method = _METHODS.get(path)
+        if method is None:
+            return Result(404, {"error": "no such call"})
+        if self._head.method != method:
+            return Result(405, {"error": f"{method.decode()} only"})
+        if path not in _NAMED:
+            return Call(path)
+        try:
+            return Call(path, _DECODER.decode(self._body).name)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return Result(400, {"error": 'the body is not {"name": "ID"}'})
+
+    def answer(self, result: Result) -> bytes:
+        """The bytes of the answer."""
+        body = msgspec.json.encode(result.told) + b"\n"
+        fields = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        head = h11.Response(status_code=result.status, headers=[*fields, ("Connection", "close")])
+        data = self._http.send(head) or b""
+        if self._head is None or self._head.method != b"HEAD":
+            data += self._http.send(h11.Data(data=body)) or b""
+        return data
+
+
+class Operators(Protocol):
+    """What the operators' calls do."""
+
+    async def obey(self, call: Call) -> Result:
+        """Carry out a call; a no has changed nothing."""
+
+
+class Control:
+    """Owns the operators' listening socket and the calls under way, at most `_PLACES` of them."""
+
+    def __init__(
+        self, operators: Operators, listen: tuple[str, int], nursery: trio.Nursery, say: Say
+    ) -> None:
+        self._operators, self._nursery, self._say = operators, nursery, say
+        self._calls: dict[Stream, trio.CancelScope] = {}
+        self._sock = listening(listen)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        host, port = self._sock.getsockname()
+        return str(host), int(port)
+
+    async def run(self) -> None:
+        """Accept until cancelled."""
+        while True:
+            await trio.lowlevel.wait_readable(self._sock)
+            try:
+                sock, _ = self._sock.accept()
+                stream = Stream(sock, _HEAD_LIMIT + _BODY_LIMIT, _ANSWER_LIMIT)
+            except (BlockingIOError, InterruptedError):
+                continue
+            except OSError as error:
+                # Guards against the end of the node, or a spin, when descriptors run out.
+                if error.errno in OUT_OF_SOCKETS:
+                    self._say("out-of-sockets", error=str(error))
+                await trio.sleep(0.02)
+                continue
+            if len(self._calls) >= _PLACES:
+                # Guards against callers that stay: those who have had longest to say something go first.
+                first = next(iter(self._calls))
+                self._calls.pop(first).cancel()
+            self._calls[stream] = scope = trio.CancelScope()
+            self._nursery.start_soon(self._serve, stream, scope)
+
+    async def _serve(self, stream: Stream, scope: trio.CancelScope) -> None:
+        try:
+            with scope:
+                await self._one_call(stream)
+        except (OSError, BufferError):
+            pass  # the caller is gone
+        except Exception as error:
+            # Guards against one call's fault ending the node.
+            self._say("control-failed", error=repr(error))
+        finally:
+            self._calls.pop(stream, None)
+            stream.close()
+
+    async def _one_call(self, stream: Stream) -> None:
+        http = ControlConnection()
+        call: Call | Result | None = None
+        with trio.move_on_after(_CALL_LIMIT):
+            while call is None:
+                if not await stream.receive():
+                    return
+                call = http.receive(stream.inbound.take())
+        if isinstance(call, Call):
+            call = await self._operators.obey(call)
+        stream.send(http.answer(call or Result(408, {"error": "the call did not come in time"})))
+        with trio.move_on_after(_LINGER):
+            await stream.drain()
+            # Closing while the caller still writes would lose the answer in a reset.
+            stream.end_sending()
+            await stream.skip(_BODY_LIMIT)
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -10,6 +10,7 @@
 from burlmoor import core as c
 from burlmoor.net import callbacks
 from burlmoor.net.listener import CallBack, JobAsked, ListenerConnection, ReadyAsked, Rejected
+from burlmoor.net.serving import Service, Serving
 from burlmoor.net.stream import OUT_OF_SOCKETS, Stream
 
 _RING_IN, _RING_OUT = 16 * 1024, 128 * 1024
@@ -22,7 +23,6 @@
 _SPARE_SILENT, _SPARE_BEGUN, _SPARE_IDLE = 0.1, 1.0, 0.25
 _SWEEP = 0.2
 _KEPT = 0.4  # of the connections: as many may wait or lie idle after use, then the longest idle ones end
-_BACKLOG = 1024
 _KEPT_FOR_CALLBACKS = 8  # one in so many of the connections
 _BACK_IN = "0.5"  # seconds after which a client that found no room may come again
 
@@ -193,8 +193,8 @@
             case ReadyAsked():
                 # Guards against a crowd that asks once and stays: a check needs no connection that lasts.
                 self._http.closing = True
-                ready = not self._front.stopping
-                self._respond(*((200, b"ready\n") if ready else (503, b"stopping\n")))
+                ready = self._front.service.state is Serving.OPEN
+                self._respond(*((200, b"ready\n") if ready else (503, b"taking no clients\n")))
             case Rejected():
                 self._front.say("rejected", status=asked.status, reason=asked.reason)
                 self._respond(asked.status, asked.reason.encode() + b"\n")
@@ -214,7 +214,7 @@
         self.advance()
 
     def _respond(self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None) -> None:
-        if self._front.closing:
+        if self._front.service.state >= Serving.CLOSING:
             self._http.closing = True
         self.since = trio.current_time()
         self._send(self._http.answer(status, body, headers or ()))
@@ -250,24 +250,18 @@
         self,
         core: c.Core,
         classes: list[str],
-        listen: tuple[str, int],
+        sock: socket.socket,
         size: int,
+        service: Service,
         nursery: trio.Nursery,
         say: c.Say,
     ) -> None:
         self.core, self.classes, self.nursery, self.say = core, classes, nursery, say
-        self._size = size
+        self._size, self.service = size, service
         self._links: set[Link] = set()
         self._ended = trio.Event()
-        self.stopping = False  # whether those who ask are told to stay away
-        self.closing = False  # whether answers close their connections
-        self.taking = True  # whether new jobs are taken
         self.waiting = 0  # clients that wait for an answer
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.setblocking(False)
-        self._sock.bind(listen)
-        self._sock.listen(_BACKLOG)
+        self._sock = sock
 
     @property
     def address(self) -> tuple[str, int]:
@@ -328,7 +322,8 @@
         Guards against clients that wait taking every connection: without room for the call-backs that
         answer them, all would wait until their deadlines.
         """
-        return self.taking and self.waiting < self._size - max(4, self._size // _KEPT_FOR_CALLBACKS)
+        taking = self.service.state < Serving.REFUSING
+        return taking and self.waiting < self._size - max(4, self._size // _KEPT_FOR_CALLBACKS)
 
     def _spare(self) -> bool:
         """End a connection to make room: of those that were never used, else of all, the one longest so."""
@@ -351,6 +346,8 @@
         while True:
             await trio.sleep(_SWEEP)
             now = trio.current_time()
+            if self.service.state >= Serving.CLOSING:
+                self.end_idle()
             for link in [link for link in self._links if now > link.since + link.limit]:
                 link.end()
             # Guards against clients that open a connection for each request and leave the last one lying: the
--- /dev/null
+++ b/burlmoor/net/serving.py
@@ -0,0 +1,70 @@
+"""How far this node sends its clients away: one state that a stop and an operators' drain share."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import trio
+
+
+class Serving(IntEnum):
+    """Each state does all that the ones before it do."""
+
+    OPEN = 0
+    AWAY = 1  # whoever asks is told that this node takes no clients; those who are here go on as before
+    CLOSING = 2  # answers close their connections, and idle ones end
+    REFUSING = 3  # new jobs are refused
+
+
+Steps = tuple[tuple[float, Serving], ...]
+
+# Seconds after SIGTERM. Guards against a gap in service: the node restarted before may not be back yet.
+_STOP: Steps = ((2.0, Serving.REFUSING), (0.0, Serving.AWAY))
+# Seconds after a drain is asked for. Those who send clients have heard of it after 0.3 s. What is taken after
+# 2 s would be a young job 4 s after the call, when none may be here.
+_DRAIN: Steps = ((2.0, Serving.REFUSING), (0.8, Serving.CLOSING), (0.0, Serving.AWAY))
+
+
+def _step(since: float | None, steps: Steps, now: float) -> Serving:
+    if since is None:
+        return Serving.OPEN
+    return next((state for after, state in steps if now >= since + after), Serving.OPEN)
+
+
+class Service:
+    """Owns when a stop and a drain began; the state follows from the time that has passed.
+
+    No task moves it, so a drain can be ended, or met by a stop, at any point with nothing left half done.
+    """
+
+    def __init__(self) -> None:
+        self._stopped: float | None = None
+        self._drained: float | None = None
+
+    @property
+    def state(self) -> Serving:
+        """How far clients are sent away by now."""
+        now = trio.current_time()
+        return max(_step(self._stopped, _STOP, now), _step(self._drained, _DRAIN, now))
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the node has been told to end."""
+        return self._stopped is not None
+
+    @property
+    def drained(self) -> bool:
+        """Whether operators have sent the clients away."""
+        return self._drained is not None
+
+    def stop(self) -> None:
+        """Begin to stop; told again, it changes nothing."""
+        self._stopped = trio.current_time() if self._stopped is None else self._stopped
+
+    def drain(self) -> None:
+        """Begin to drain; told again, it changes nothing."""
+        self._drained = trio.current_time() if self._drained is None else self._drained
+
+    def undrain(self) -> None:
+        """End a drain: clients are taken again from now on, unless the node stops."""
+        self._drained = None
--- a/burlmoor/net/stream.py
+++ b/burlmoor/net/stream.py
@@ -12,6 +12,7 @@
 from burlmoor.net.ring import Ring
 
 _CHUNK = 16384
+_BACKLOG = 1024
 _SCRATCH = bytearray(128 * 1024)  # takes what is read only to be thrown away
 OUT_OF_SOCKETS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
@@ -140,6 +141,25 @@
     return host, int(port)
 
 
+def listening(address: tuple[str, int], passed: int | None = None) -> socket.socket:
+    """A socket that listens: the one that was passed on, else one of our own."""
+    if passed is not None:
+        # Never bound, listened on or shut down here: other processes accept from it too.
+        sock = socket.socket(fileno=passed)
+        sock.setblocking(False)
+        return sock
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(_BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 async def connect(dial: str, limit: int) -> Stream:
     """A new connection; OSError where it is refused. The caller bounds the time."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/burlmoor/net/target_group.py
+++ b/burlmoor/net/target_group.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import msgspec
@@ -52,18 +53,67 @@
     born: float
 
 
+class ByHand(msgspec.Struct):
+    """What operators have set of targets; times are Unix times in ms."""
+
+    out: dict[str, float] = {}  # who gets nothing, since when
+    started: dict[str, float] = {}  # who was put back, and when it counts as started
+
+
 class TargetGroup:
-    """Owns the list as this node has it, and its version."""
+    """Owns the list as this node has it, its version, and what operators have laid over it."""
 
     def __init__(self, core: Core, pool: Pool, from_unix: Callable[[float], float]) -> None:
         self._core, self._pool, self._from_unix = core, pool, from_unix
         self._targets: dict[str, Target] = {}
+        self._hosts: dict[str, _Host] = {}
+        self.by_hand = ByHand()
         self.version: int | None = None
 
     def live(self, name: str) -> Target | None:
         """The target, if it may be sent new work now."""
         target = self._targets.get(name)
-        return target if target is not None and target.state is m.State.LIVE else None
+        if target is None or target.state is not m.State.LIVE or name in self.by_hand.out:
+            return None
+        return target
+
+    def take_out(self, name: str) -> bool:
+        """Nothing more goes to this target until it is put back; False where no target has this name."""
+        out = self.by_hand.out
+        if name not in self._targets and name not in out:
+            return False
+        if name not in out:
+            out[name] = time.time() * 1000.0
+            self.by_hand.started.pop(name, None)
+            self._tell([name])
+        return True
+
+    def put_back(self, name: str) -> bool:
+        """The list holds for this target again; False where no target has this name."""
+        if name not in self._targets and name not in self.by_hand.out:
+            return False
+        since = self.by_hand.out.pop(name, None)
+        if since is not None:
+            host = self._hosts.get(name)
+            if host is None or host.born_ms < since:
+                # Guards rule 4: it was restarted while it was out, which the list tells only later.
+                self.by_hand.started[name] = time.time() * 1000.0
+            if host is not None:
+                # What was open may be of the process before, and would lose the next job written to it.
+                self._pool.drop(host.dial)
+            self._tell([name])
+        return True
+
+    def set_by_hand(self, given: ByHand) -> None:
+        """What is given is laid over the list from now on."""
+        names = {*self.by_hand.out, *self.by_hand.started, *given.out, *given.started}
+        self.by_hand = given
+        self._tell(names)
+
+    def _tell(self, names: Iterable[str]) -> None:
+        hosts = [self._hosts[name] for name in names if name in self._hosts]
+        if hosts:
+            self._core.listed(m.Form.CHANGES, self._entries(hosts))
 
     def dial(self, name: str) -> str | None:
         """The target's address, whatever its state."""
@@ -90,6 +140,7 @@
             names = {host.host for host in given.hosts}
             for name in [name for name in self._targets if name not in names]:
                 self._pool.drop(self._targets.pop(name).dial)
+                self._hosts.pop(name, None)
         older = self.version is not None and given.seq < self.version
         for number, host in enumerate(given.hosts):
             old = self._targets.get(host.host)
@@ -104,22 +155,27 @@
                 self._pool.drop(old.dial)
             # One that is gone keeps its address, so that what it still holds can be given up there.
             self._targets[host.host] = new
+            self._hosts[host.host] = given.hosts[number]
         self.version = given.seq
 
     def _entries(self, hosts: list[_Host]) -> list[m.Entry]:
         return [
             m.Entry(
                 executor=host.host,
-                state=_STATES.get(host.health, m.State.GONE),
+                state=self._state(host),
                 zone=host.site,
                 weight=host.share,
                 cell=host.block,
                 kind=host.kind,
-                started=self._from_unix(host.born_ms),
+                started=self._from_unix(max(host.born_ms, self.by_hand.started.get(host.host, 0.0))),
             )
             for host in hosts
         ]
 
+    def _state(self, host: _Host) -> m.State:
+        state = _STATES.get(host.health, m.State.GONE)
+        return m.State.DRAINING if state is m.State.LIVE and host.host in self.by_hand.out else state
+
 
 class Watch:
     """Owns the calls to discovery: one at a time, the next at once after each answer."""
--- /dev/null
+++ b/burlmoor/operators.py
@@ -0,0 +1,92 @@
+"""What operators have set by hand: carried out here, and kept in a file for the process that comes next."""
+
+from __future__ import annotations
+
+import os
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+
+from burlmoor.core import Say
+from burlmoor.net.control import Call, Result
+from burlmoor.net.serving import Service, Serving
+from burlmoor.net.target_group import ByHand, TargetGroup
+
+
+class Set(msgspec.Struct):
+    """All that is set by hand."""
+
+    executors: ByHand = msgspec.field(default_factory=ByHand)
+    drained: bool = False
+
+
+class Desk:
+    """Owns the operators' calls and the file of what they have set (None: kept in memory only)."""
+
+    def __init__(self, group: TargetGroup, service: Service, path: Path | None, say: Say) -> None:
+        self._group, self._service, self._path, self._say = group, service, path, say
+        self.serving = True  # whether this process accepts clients
+
+    async def obey(self, call: Call) -> Result:
+        """Carry out a call; a no has changed nothing."""
+        if call.path == "/ready":
+            ready = self.serving and self._service.state is Serving.OPEN
+            return Result(200 if ready else 503, self._shown(ready))
+        if not self._apply(call):
+            return Result(404, {"error": "no executor has this name"})
+        self._save()
+        self._say("by-hand", call=call.path, name=call.name)
+        return Result(200, self._shown(self._service.state is Serving.OPEN))
+
+    def _apply(self, call: Call) -> bool:
+        match call.path:
+            case "/executors/disable":
+                return self._group.take_out(call.name)
+            case "/executors/enable":
+                return self._group.put_back(call.name)
+            case "/drain":
+                self._service.drain()
+            case "/undrain":
+                self._service.undrain()
+        return True
+
+    def _shown(self, ready: bool) -> dict[str, object]:
+        drained, out = self._service.drained, sorted(self._group.by_hand.out)
+        return {"ready": ready, "state": self._service.state.name.lower(), "drained": drained, "out": out}
+
+    def restore(self) -> None:
+        """Take up what the file says was set; one that cannot be meant is logged and left alone."""
+        if self._path is None or not self._path.exists():
+            return
+        try:
+            self.take_up(msgspec.json.decode(self._path.read_bytes(), type=Set))
+        except (OSError, msgspec.MsgspecError, UnicodeDecodeError) as error:
+            # Guards the start: a node that can't read what was set still serves.
+            self._say("by-hand-unread", path=self._path.name, error=str(error))
+
+    def take_up(self, given: Set) -> None:
+        """What is given holds from now on."""
+        self._group.set_by_hand(given.executors)
+        if given.drained:
+            self._service.drain()
+        else:
+            self._service.undrain()
+
+    @property
+    def set(self) -> Set:
+        """All that is set now."""
+        return Set(self._group.by_hand, self._service.drained)
+
+    def _save(self) -> None:
+        if self._path is None:
+            return
+        fresh = self._path.with_suffix(".new")
+        try:
+            # Replaced in one step: a process that ends here leaves the old file or the new one, whole.
+            fresh.write_bytes(msgspec.json.encode(self.set))
+            os.replace(fresh, self._path)
+        except OSError as error:
+            self._say("by-hand-unsaved", path=self._path.name, error=str(error))
+            with suppress(OSError):
+                fresh.unlink()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -213,7 +213,9 @@
 
 
 @asynccontextmanager
-async def stage(*script: str, sockets: int = 1024, lines: list[str] | None = None) -> AsyncIterator[Stage]:
+async def stage(
+    *script: str, sockets: int = 1024, lines: list[str] | None = None, **more: Any
+) -> AsyncIterator[Stage]:
     """A node that knows two live executors, e0 and e1, playing `script`."""
 
     class Sink:
@@ -229,7 +231,8 @@
             await made.executor(name)
         discovery = await made.discovery()
         known = msgspec.convert(made.listed(1, e0="active", e1="active"), HostList)
-        given = Config("n0", ("127.0.0.1", 0), discovery, 7, sockets, known, settings_from(OPTIONS))
+        more = {"control": ("127.0.0.1", 0), **more}
+        given = Config("n0", ("127.0.0.1", 0), discovery, 7, sockets, known, settings_from(OPTIONS), **more)
 
         async def run(task_status: trio.TaskStatus[None]) -> None:
             # A nursery of its own: a node that stops cancels its nursery, and must not end the story.
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -41,6 +42,10 @@
     given = config.load({**written(tmp_path), "RELAY_NAME": "n7", "RELAY_LISTEN": "127.0.0.2:90"})
     assert (given.name, given.listen, given.discovery) == ("n7", ("127.0.0.2", 90), "127.0.0.1:8500")
     assert (given.seed, given.sockets) == (0x8C1F, 900)
+    assert given.control is None
+    told = written(tmp_path, control="127.0.0.1:9901")
+    assert config.load(told).control == ("127.0.0.1", 9901)
+    assert config.load({**told, "RELAY_CONTROL": "127.0.0.1:9902"}).control == ("127.0.0.1", 9902)
     assert given.settings.keepalive == 30_000.0
     assert [each.name for each in given.settings.decisions.classes] == ["lookup", "once"]
 
@@ -50,6 +55,7 @@
     [
         ({"listen": "nowhere"}, "listen"),
         ({"discovery": "127.0.0.1:http"}, "discovery"),
+        ({"control": "127.0.0.1"}, "control"),
         ({"seed": "seed"}, "seed"),
         ({"limits": {"sockets": "many"}}, "limits.sockets"),
         ({"settings": {**OPTIONS, "Tick": "often"}}, "Tick"),
@@ -67,3 +73,12 @@
     assert done.returncode != 0
     assert len(done.stderr.splitlines()) == 1, done.stderr
     assert field in done.stderr
+
+
+def test_a_passed_descriptor_has_to_listen(tmp_path: Path) -> None:
+    with socket.socket() as bound, socket.create_server(("127.0.0.1", 0)) as listens:
+        good = {**written(tmp_path), "RELAY_PASSED_SOCKET": str(listens.fileno())}
+        assert config.load(good).passed == listens.fileno()
+        for text in ("three", "987", str(bound.fileno())):
+            with pytest.raises(config.BadConfig, match="RELAY_PASSED_SOCKET"):
+                config.load({**good, "RELAY_PASSED_SOCKET": text})
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,286 @@
+"""The operators' address: calls, silent callers, executors out by hand, and drains."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from burlmoor import messages as m
+from burlmoor.net.control import Call, ControlConnection, Result
+from burlmoor.net.serving import Service, Serving
+from tests.peers import Stage, Wire, stage
+
+
+def play(story: Callable[[Stage], Awaitable[Any]], *script: str, **given: Any) -> Any:
+    async def run() -> Any:
+        with trio.fail_after(20.0):
+            async with stage(*script, **given) as made:
+                return await story(made)
+
+    return trio.run(run)
+
+
+@pytest.mark.parametrize(
+    ("said", "got"),
+    [
+        (b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", Call("/ready")),
+        (b"POST /drain HTTP/1.1\r\nHost: a\r\n\r\n", Call("/drain")),
+        (b"GET /drain HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+        (b"POST /ready HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+        (b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 404),
+        (b"\x00\r\n\r\n", 400),
+        (b"POST /drain HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n" + b"x" * 9000, 413),
+        (b"GET /" + b"x" * 9000, 431),
+        (b"GET /ready HTTP/1.1\r\nHo", None),
+    ],
+)
+def test_what_a_call_asks_for(said: bytes, got: Call | int | None) -> None:
+    for size in (1, 50, len(said)):
+        http, asked = ControlConnection(), None
+        for start in range(0, len(said), size):
+            asked = http.receive(said[start : start + size])
+            if asked is not None:
+                break
+        assert (asked.status if isinstance(asked, Result) else asked) == got
+        if isinstance(asked, Result):
+            assert f"HTTP/1.1 {got} ".encode() in http.answer(asked)
+
+
+@pytest.mark.parametrize(
+    ("body", "name"),
+    [
+        (b'{"name":"e0"}', "e0"),
+        (b'{"name":"e0","why":1}', "e0"),
+        (b"", None),
+        (b"{", None),
+        (b'{"name":7}', None),
+        (b'{"id":"e0"}', None),
+        (b'{"name":"\xff"}', None),
+        (b"[" * 3000, None),
+    ],
+)
+def test_an_executor_is_named_by_a_json_object(body: bytes, name: str | None) -> None:
+    head = b"POST /executors/disable HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body)
+    asked = ControlConnection().receive(head + body)
+    if name is None:
+        assert isinstance(asked, Result)
+        assert asked.status == 400
+    else:
+        assert asked == Call("/executors/disable", name)
+
+
+async def call(made: Stage, path: str, name: str = "", method: str = "POST") -> tuple[int, dict[str, Any]]:
+    assert made.node.control is not None
+    wire = Wire(await trio.open_tcp_stream(*made.node.control.address))
+    body = json.dumps({"name": name}).encode() if name else b""
+    await wire.write(f"{method} {path} HTTP/1.1", body, Host="node")
+    answer = await made.answer(wire)
+    assert await wire.read() is None
+    return answer.status, json.loads(answer.body)
+
+
+async def serve(made: Stage, ref: str, name: str = "once") -> str:
+    """Have one job served; the executor that it went to."""
+    jobs = len(made.jobs)
+    wire = await made.submit(name, ref)
+    await made.until(lambda: len(made.jobs) > jobs)
+    await made.tell("done", "fine")
+    assert (await made.answer(wire)).status == 200
+    return made.jobs[-1][0]
+
+
+def test_an_executor_out_by_hand_gets_nothing_whatever_is_listed() -> None:
+    async def story(made: Stage) -> None:
+        assert (await call(made, "/executors/disable", "nobody"))[0] == 404
+        assert (await call(made, "/executors/enable", "nobody"))[0] == 404
+        for _ in range(2):  # two calls out need one call back
+            assert await call(made, "/executors/disable", "e0") == (
+                200, {"ready": True, "state": "open", "drained": False, "out": ["e0"]},
+            )  # fmt: skip
+        seq = 1
+        listed: list[dict[str, Any]] = [{"e0": "active", "e1": "active"}, {"e1": "active"}]
+        for hosts in (*listed, listed[0]):
+            seq += 1
+            await made.publish(seq, **hosts)
+            await made.until(lambda seq=seq: made.node.group.version == seq)  # type: ignore[misc]
+            assert {await serve(made, f"{seq}-{ref}") for ref in range(4)} == {"e1"}
+        assert (await call(made, "/executors/enable", "e0"))[1]["out"] == []
+        assert made.node.group.live("e0") is not None
+
+    play(story)
+
+
+def test_an_executor_put_back_counts_as_newly_started_even_where_the_list_lags() -> None:
+    # Guards rule 4: it was restarted while it was out, and full load would push it over.
+    async def story(made: Stage) -> None:
+        told: list[m.Members] = []
+        listed = made.node.core.listed
+
+        def listen(form: m.Form, entries: Any) -> None:
+            told.append(m.Members(form, list(entries)))
+            listed(form, told[-1].entries)
+
+        made.node.core.listed = listen  # type: ignore[method-assign]
+        before = made.node.core.clock()
+        await call(made, "/executors/disable", "e0")
+        await call(made, "/executors/enable", "e0")
+        out, back = (each.entries[0] for each in told)
+        assert (out.executor, out.state, out.started) == ("e0", m.State.DRAINING, 0.0)
+        assert (back.executor, back.state) == ("e0", m.State.LIVE)
+        assert back.started >= before
+        await made.publish(2, e0="active", e1="active")  # with the old start
+        await made.until(lambda: made.node.group.version == 2)
+        assert told[-1].entries[0].started == back.started
+
+    play(story)
+
+
+def test_a_forward_that_is_still_connecting_does_not_reach_an_executor_taken_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story(made: Stage) -> None:
+        take = made.node.pool.take
+        out: list[str] = []
+
+        async def slow(dial: str) -> Any:
+            link = await take(dial)
+            if not out:
+                out.append(next(name for name, at in made.dials.items() if at == dial))
+                assert (await call(made, "/executors/disable", out[0]))[0] == 200
+            return link
+
+        monkeypatch.setattr(made.node.pool, "take", slow)
+        assert await serve(made, "a1") != out[0]
+
+    play(story)
+
+
+def test_callers_that_say_nothing_or_half_a_call_hold_up_nobody() -> None:
+    async def story(made: Stage) -> None:
+        assert made.node.control is not None
+        silent = [Wire(await trio.open_tcp_stream(*made.node.control.address)) for _ in range(40)]
+        for wire in silent[::2]:
+            await wire.stream.send_all(b"POST /executors/disable HTTP/1.1\r\nContent-Le")
+        began = trio.current_time()
+        assert (await call(made, "/ready", method="GET"))[0] == 200
+        assert trio.current_time() - began < 1.0
+        for wire in silent:
+            await wire.read()  # ended, or told that the call did not come in time
+        assert trio.current_time() - began < 3.0
+        assert made.node.group.by_hand.out == {}
+
+    play(story)
+
+
+def test_a_fault_in_a_call_ends_only_that(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(made: Stage) -> None:
+        assert made.node.control is not None
+        with monkeypatch.context() as patch:
+            patch.setattr(made.node.service, "drain", lambda: 1 / 0)
+            wire = Wire(await trio.open_tcp_stream(*made.node.control.address))
+            await wire.write("POST /drain HTTP/1.1", Host="node")
+            assert await wire.read() is None
+        assert (await call(made, "/ready", method="GET"))[0] == 200
+
+    lines: list[str] = []
+    play(story, lines=lines)
+    assert "control-failed" in lines[0]
+
+
+async def ready(made: Stage) -> int:
+    wire = await made.client()
+    await wire.write("GET /health/ready HTTP/1.1", Host="node")
+    return (await made.answer(wire)).status
+
+
+def test_a_drain_sends_clients_away_within_four_seconds_and_ends_at_once() -> None:
+    async def story(made: Stage) -> None:
+        kept = await made.submit("once", "a1", 5000)
+        idle = await made.submit("once", "a2")
+        await made.until(lambda: len(made.jobs) == 2)
+        number = next(n for n, (_, job) in enumerate(made.jobs) if job.headers["request-id"] == "a2")
+        await made.tell("started", job=1 - number)  # it runs; nothing is learnt of long waits
+        await made.tell("done", "fine", job=number)
+        assert "connection" not in (await made.answer(idle)).headers
+        for _ in range(2):  # twice changes nothing
+            assert (await call(made, "/drain"))[1]["drained"] is True
+        assert await ready(made) == 503
+        assert (await call(made, "/ready", method="GET"))[0] == 503
+        await made.ask(idle, "once", "a3")  # kept connections are served for a while
+        await made.until(lambda: len(made.jobs) == 3)
+        await made.tell("done", "fine")
+        assert (await made.answer(idle)).status == 200
+        began = trio.current_time()
+        assert await idle.read() is None  # ended while it lay idle
+        assert trio.current_time() - began < 3.0
+        await made.until(lambda: made.node.service.state is Serving.REFUSING)
+        assert (await made.answer(await made.submit("once", "a4"))).status == 503
+        await made.tell("done", "fine", job=1 - number)  # it listens for call-backs all the while
+        answer = await made.answer(kept)
+        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        assert (await call(made, "/undrain"))[0] == 200
+        assert await ready(made) == 200
+        wire = await made.submit("once", "a5")
+        await made.until(lambda: len(made.jobs) == 4)
+        await made.tell("done", "fine")
+        assert "connection" not in (await made.answer(wire)).headers
+
+    play(story)
+
+
+def test_a_drain_and_a_stop_move_one_state(autojump_clock: trio.testing.MockClock) -> None:
+    async def story() -> None:
+        service = Service()
+        service.drain()
+        seen.append(service.state)
+        await trio.sleep(1.0)
+        seen.append(service.state)
+        service.undrain()
+        seen.append(service.state)
+        service.drain()
+        service.stop()
+        await trio.sleep(1.0)
+        service.undrain()  # a stop is not ended by it
+        seen.append(service.state)
+        service.stop()
+        await trio.sleep(1.0)
+        seen.append(service.state)
+
+    seen: list[Serving] = []
+    trio.run(story, clock=autojump_clock)
+    assert seen == [Serving.AWAY, Serving.CLOSING, Serving.OPEN, Serving.AWAY, Serving.REFUSING]
+
+
+@pytest.mark.parametrize("spoilt", [False, True])
+def test_what_was_set_by_hand_outlives_the_process(spoilt: bool, tmp_path: Path) -> None:
+    async def first(made: Stage) -> None:
+        await call(made, "/executors/disable", "e0")
+        await call(made, "/drain")
+
+    async def second(made: Stage) -> None:
+        assert (made.node.group.live("e0") is None) is not spoilt
+        assert made.node.service.drained is not spoilt
+
+    play(first, folder=tmp_path)
+    (kept,) = tmp_path.iterdir()
+    if spoilt:
+        kept.write_bytes(kept.read_bytes()[:-9])
+    lines: list[str] = []
+    play(second, folder=tmp_path, lines=lines)
+    assert ("by-hand-unread" in "".join(lines)) is spoilt
+
+
+def test_a_node_accepts_from_a_socket_that_was_passed_on() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as held:
+
+        async def story(made: Stage) -> None:
+            made.address = held.getsockname()
+            assert await ready(made) == 200
+
+        play(story, passed=held.dup().detach())
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -13,6 +13,7 @@
 import pytest
 import trio
 
+from burlmoor.net.serving import Serving
 from tests.peers import Message, Stage, stage
 from tests.test_config import written
 
@@ -386,13 +387,13 @@
         idle = await made.client()
         await made.until(lambda: made.jobs)
         made.nursery.start_soon(made.node.stop)
-        await made.until(lambda: made.node.front.stopping)
+        await made.until(lambda: made.node.service.stopping)
         ready = await made.client()
         await ready.write("GET /health/ready HTTP/1.1", Host="node")
         assert (await made.answer(ready)).status == 503
         await made.ask(idle, ref="a2")  # clients keep the connections they have for a while
         await made.until(lambda: len(made.jobs) == 2)
-        await made.until(lambda: not made.node.front.taking)
+        await made.until(lambda: made.node.service.state is Serving.REFUSING)
         late = await made.submit(ref="a3")
         assert (await made.answer(late)).status == 503
         for job, wire in ((0, first), (1, idle)):
@@ -483,7 +484,7 @@
         await made.ask(wire)
         await made.until(lambda: made.jobs)
         made.nursery.start_soon(made.node.stop)
-        await made.until(lambda: made.node.front.stopping)
+        await made.until(lambda: made.node.service.stopping)
         await made.tell("done", "x" * 60_000)
         assert made.node.front.unsent
         with trio.move_on_after(1.0):
