Take over from an old process under load, with its connections, list and by-hand state

Ruled out: the start itself (ready after 0.2 s), memory (36 of 80 MB for both), descriptors (120 of 384).

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -24,6 +24,7 @@
 from burlmoor.net.stream import listening
 from burlmoor.net.target_group import TargetGroup, Watch
 from burlmoor.operators import Desk
+from burlmoor.succession import Succession
 
 _SPARE_SOCKETS = 64  # descriptors for what is neither a client's nor a target's connection
 _FOR_DISCOVERY = 4
@@ -58,18 +59,30 @@
         self.service = Service()
         sock = listening(given.listen, given.passed)
         self.front = Front(self.core, classes, sock, sockets - targets, self.service, nursery, log)
-        by_hand = given.folder / f"{quote(given.name, safe='')}.by-hand.json" if given.folder else None
-        self.desk = Desk(self.group, self.service, by_hand, log)
+        name = quote(given.name, safe="")
+        kept = given.folder / f"{name}.by-hand" if given.folder else None
+        self.desk = Desk(self.group, self.service, kept, log)
+        # Only where the platform holds the socket that clients come to can two processes share it.
+        link = given.folder / f"{name}.link" if given.folder and given.passed is not None else None
+        self.succession = Succession(
+            self.core, self.front, self.pool, self.group, self.desk, link, nursery, log
+        )
         self.desk.restore()
         self.control = Control(self.desk, given.control, nursery, log) if given.control else None
 
     def start(self) -> None:
         """Start all that runs for as long as the node does."""
-        for task in (self.drive, self.front.run, self.front.sweep, self.watch.run, self.sweep):
+        for task in (self.drive, self.front.sweep, self.sweep, self._begin):
             self._nursery.start_soon(task)
         if self.control is not None:
             self._nursery.start_soon(self.control.run)
 
+    async def _begin(self) -> None:
+        # The list of the process before this one counts as told here too, and the watch goes on from it.
+        await self.succession.approach()
+        self._nursery.start_soon(self.watch.run)
+        await self.succession.run()
+
     def _wake(self) -> None:
         self._woken.set()
 
@@ -120,24 +133,42 @@
         later = [name for name in kept if getattr(new, name) != getattr(self._given, name)]
         self._log("reloaded", discovery=new.discovery, needs_restart=later)
 
+    @property
+    def _busy(self) -> bool:
+        """Whether somebody is still owed something by this process."""
+        front = self.front
+        return bool(
+            self.core.open_jobs
+            or self.forwards.closing
+            or front.unsent
+            or front.begun
+            or self.succession.unsent
+        )
+
     async def stop(self) -> None:
         """Finish what was taken, then end the node. Told again, it changes nothing."""
         if self.service.stopping:
             return
         self._log("stopping", open=self.core.open_jobs)
         self.service.stop()
-        began = self._clock()
-        await trio.sleep(_CLIENTS_COME)
-        # Guards rule 1: SIGKILL would lose what came late and is not answered by then.
-        self.core.answer_by = began + 1000.0 * _ALL_ANSWERED
-        while self.service.state < Serving.REFUSING:
-            await trio.sleep(0.02)
+        answered = self._clock() + 1000.0 * _ALL_ANSWERED
+        if self.succession.yielded:
+            # Clients come to the process that has taken over; SIGKILL would lose what is open here by then.
+            self.core.answer_all_by(answered)
+        else:
+            await trio.sleep(_CLIENTS_COME)
+            # Guards rule 1: SIGKILL would lose what came late and is not answered by then.
+            self.core.answer_by = answered
+            while self.service.state < Serving.REFUSING:
+                await trio.sleep(0.02)
         # Call-backs for what is open still come in, so the node listens until the last job is answered.
         # An answer counts by its last byte: what a slow client has not read yet is not cut off.
-        while self.core.open_jobs or self.forwards.closing or self.front.unsent:
-            # What lies idle is closed only now that the front no longer sends clients here.
-            self.front.end_idle()
+        while self._busy:
+            if not self.succession.yielded:
+                # What lies idle is closed only now that the front no longer sends clients here.
+                self.front.end_idle()
             await trio.sleep(0.02)
+        self.succession.end()
         self._log("stopped")
         self._nursery.cancel_scope.cancel()
 
@@ -151,7 +182,6 @@
             node.start()
             nursery.start_soon(node.obey_signals, received)
             _settle()
-            log("started", listen=":".join(map(str, given.listen)), version=node.group.version)
 
 
 def _settle() -> None:
--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -126,6 +126,7 @@
         self._numbers = 0
         self._jobs: dict[int, Job] = {}
         self._ids: dict[str, Job] = {}
+        self.elsewhere: set[str] = set()  # ids of jobs that another process of this node has taken
         self._events: list[m.Event] = []
         self._timers: list[tuple[float, int]] = []
         self._limits: list[tuple[float, int, Job | Forward]] = []  # deadlines of jobs and forwards
@@ -141,9 +142,24 @@
         """How many jobs wait for their final answer."""
         return sum(not job.over for job in self._jobs.values())
 
+    def open_ids(self) -> list[str]:
+        """The ids of the jobs taken here that are not forgotten."""
+        return list(self._ids)
+
+    def yielded(self, yielded: bool) -> None:
+        """Whether another process takes this node's jobs in this one's place."""
+        self._post(m.Yielded(yielded))
+
+    def answer_all_by(self, at: float) -> None:
+        """What is open then is answered then, whatever its deadline."""
+        self.answer_by = at
+        for job in self._jobs.values():
+            if not job.over and job.deadline > at:
+                self._limit(at, job)
+
     def take(self, listener: Listener, request_id: str, request: m.Request, payload: Any) -> Job | None:
         """A request's last byte has come; None where its id is already in use."""
-        if request_id in self._ids:
+        if request_id in self._ids or request_id in self.elsewhere:
             return None
         self._numbers += 1
         # Guards against a figure that holds a job, and a node that stops, far beyond what its class may wait.
--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -301,6 +301,7 @@
         self.settings, self.rules, self.rng = settings, settings.rules, rng
         self.workers: dict[str, Worker] = {}
         self.failures, self.size = 0, 0.0
+        self.yielded = False  # whether this node's part of the budgets is another process's now
         self._reach: dict[str | None, Reach] = {}
 
     def update(self, event: m.Members) -> None:
@@ -354,7 +355,7 @@
         if now >= worker.cold_window + window:
             worker.cold_window, worker.cold_sent, worker.cold_draw = now, 0.0, self.rng.random()
         whole = CAUTION * self.rules.fall_multiple * warmth * worker.weight * window
-        part = whole / self.settings.balancers
+        part = 0.0 if self.yielded else whole / self.settings.balancers
         return cost <= 0.5 * whole and worker.cold_sent + cost * worker.cold_draw <= part
 
 
@@ -391,7 +392,7 @@
         self.handlers: dict[type, Callable[[Any, float], None]] = {
             m.Members: self._listed, m.Request: self._arrived, m.Started: self._started,
             m.Progress: self._progressed, m.StreamOpened: self._opened, m.Ended: self._ended,
-            m.Gone: self._left, m.Probed: self._probed,
+            m.Gone: self._left, m.Probed: self._probed, m.Yielded: self._yielded,
         }  # fmt: skip
 
     def handle(self, now: float, events: Iterable[m.Event]) -> list[m.Action]:
@@ -436,6 +437,9 @@
         if not failed:
             self.members.update(event)
 
+    def _yielded(self, event: m.Yielded, _now: float) -> None:
+        self.members.yielded = event.yielded
+
     def _arrived(self, event: m.Request, now: float) -> None:
         job_class = self.classes.get(event.job_class) or self.settings.classes[0]
         work = event.work
--- a/burlmoor/messages.py
+++ b/burlmoor/messages.py
@@ -257,13 +257,31 @@
     data: bytes
 
 
+class Yielded(NamedTuple):
+    """Whether another process of this same node takes its jobs, and its budgets, in this one's place."""
+
+    yielded: bool
+
+
 class Timer(NamedTuple):
     """A timer that was set has come due."""
 
     token: int
 
 
-Event = Members | Request | Started | Progress | StreamOpened | Ended | Gone | Probed | PeerMessage | Timer
+Event = (
+    Members
+    | Request
+    | Started
+    | Progress
+    | StreamOpened
+    | Ended
+    | Gone
+    | Probed
+    | PeerMessage
+    | Yielded
+    | Timer
+)
 
 
 # --- actions ----------------------------------------------------------------------------------
--- a/burlmoor/net/callbacks.py
+++ b/burlmoor/net/callbacks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import msgspec
 
 from burlmoor import messages as m
@@ -25,8 +27,16 @@
 }
 
 
-def take(core: Core, body: bytes) -> bool:
-    """Tell the core what a call-back says; False where it cannot be read.
+class Found(Enum):
+    """What became of a call-back."""
+
+    TAKEN = "taken"
+    UNKNOWN = "unknown"  # no forward that it names is waited for here
+    BAD = "bad"
+
+
+def take(core: Core, body: bytes) -> Found:
+    """Tell the core what a call-back says.
 
     A call may come twice, before the 202, or for a forward that nobody waits for any more: then nothing is
     found and nothing happens, and the executor still gets its answer.
@@ -34,14 +44,14 @@
     try:
         event = _DECODER.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError):
-        return False
+        return Found.BAD
     forward = core.find(event.id, event.target)
     if forward is None:
-        return True
+        return Found.UNKNOWN
     if event.state in _ENDS:
         core.ended(forward, _ENDS[event.state], event.result.encode())
     elif event.state == "started":
         core.started(forward)
     elif event.state == "running":
         core.progressed(forward, event.share)
-    return True
+    return Found.TAKEN
--- a/burlmoor/net/control.py
+++ b/burlmoor/net/control.py
@@ -15,7 +15,7 @@
 _ANSWER_LIMIT = 16 * 1024
 _CALL_LIMIT = 0.7  # seconds that a call may take to come in: its answer is due within 1 s
 _LINGER = 0.1  # seconds for an answer to reach a caller that still writes
-_PLACES = 24  # calls at a time; the one that came first makes room
+_PLACES = 12  # calls at a time; the one that came first makes room
 _METHODS = {
     "/ready": b"GET",
     "/executors/disable": b"POST",
@@ -23,7 +23,7 @@
     "/drain": b"POST",
     "/undrain": b"POST",
 }
-_NAMED = frozenset(("/executors/disable", "/executors/enable"))
+NAMED = frozenset(("/executors/disable", "/executors/enable"))
 
 
 class Call(NamedTuple):
@@ -85,7 +85,7 @@
             return Result(404, {"error": "no such call"})
         if self._head.method != method:
             return Result(405, {"error": f"{method.decode()} only"})
-        if path not in _NAMED:
+        if path not in NAMED:
             return Call(path)
         try:
             return Call(path, _DECODER.decode(self._body).name)
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -4,6 +4,7 @@
 
 import math
 import socket
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -30,7 +31,7 @@
 class Link:
     """Owns one accepted connection: its stream, its HTTP state and the job that waits on it."""
 
-    def __init__(self, front: Front, sock: socket.socket) -> None:
+    def __init__(self, front: Front, sock: socket.socket, used: bool = False, age: float = 0.0) -> None:
         self._front = front
         self._stream = Stream(sock, _RING_IN, _RING_OUT)
         self._http = ListenerConnection(front.classes)
@@ -38,8 +39,9 @@
         self._scope = trio.CancelScope()
         self._advancing = False
         self._room = trio.Event()
-        self.used = False  # whether a whole request has come
-        self._accepted = self.since = trio.current_time()  # `since`: the accept, a request's begin, an answer
+        self.used = used  # whether a whole request has come
+        self._accepted = trio.current_time() - age
+        self.since = trio.current_time() if used else self._accepted  # also a request's begin, or an answer
 
     @property
     def idle(self) -> bool:
@@ -72,6 +74,11 @@
         """Whether part of an answer still waits to be written."""
         return bool(self._stream.outbound)
 
+    @property
+    def begun(self) -> bool:
+        """Whether part of a request has come."""
+        return not (self.waiting or self.idle or self._finished)
+
     @property
     def waiting(self) -> bool:
         """Whether a client waits here for an answer."""
@@ -169,6 +176,17 @@
         finally:
             self._advancing = False
         self._room.set()
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        """Give the connection to the process that has taken over, if it lies between requests."""
+        give = self._front.pass_on
+        if give is None or not self.idle or self._finished:
+            return
+        sock = self._stream.detach()
+        if sock is not None:
+            self._front.links.discard(self)
+            give(sock, self.used, trio.current_time() - self._accepted)
 
     def _take(self, asked: JobAsked | CallBack | ReadyAsked | Rejected) -> None:
         self.used = True
@@ -186,19 +204,40 @@
                     self._respond(400, b"Request-Id is in use\n")
                 else:
                     self._front.waiting += 1
+                    if self._front.opened is not None:
+                        self._front.opened(asked.request_id)
             case CallBack():
-                taken = callbacks.take(self._front.core, asked.body)
-                self._http.closing = self._http.closing or not taken
-                self._respond(*((204, b"") if taken else (400, b"not a job event\n")))
+                found = callbacks.take(self._front.core, asked.body)
+                if found is callbacks.Found.UNKNOWN and self._front.call_back_elsewhere is not None:
+                    self._front.nursery.start_soon(self._call_back_elsewhere, asked.body)
+                    return
+                self._http.closing = self._http.closing or found is callbacks.Found.BAD
+                bad = found is callbacks.Found.BAD
+                self._respond(*((400, b"not a job event\n") if bad else (204, b"")))
             case ReadyAsked():
                 # Guards against a crowd that asks once and stays: a check needs no connection that lasts.
                 self._http.closing = True
-                ready = self._front.service.state is Serving.OPEN
+                ready = self._front.ready
                 self._respond(*((200, b"ready\n") if ready else (503, b"taking no clients\n")))
             case Rejected():
                 self._front.say("rejected", status=asked.status, reason=asked.reason)
                 self._respond(asked.status, asked.reason.encode() + b"\n")
 
+    async def _call_back_elsewhere(self, body: bytes) -> None:
+        """Answer a call-back once the process that knows its job has taken it.
+
+        Guards against the loss of a result: the executor does not repeat what was answered.
+        """
+        elsewhere, taken = self._front.call_back_elsewhere, False
+        try:
+            taken = elsewhere is not None and await elsewhere(body)
+        except Exception as error:
+            # Guards against one call's fault ending the node.
+            self._front.say("connection-failed", error=repr(error))
+        self._http.closing = self._http.closing or not taken
+        self._respond(204 if taken else 503, b"")
+        self.advance()
+
     def answer(self, answer: c.Answer) -> None:
         """The job's one final answer."""
         self._job = None
@@ -257,8 +296,13 @@
         say: c.Say,
     ) -> None:
         self.core, self.classes, self.nursery, self.say = core, classes, nursery, say
-        self._size, self.service = size, service
-        self._links: set[Link] = set()
+        self.size, self.service = size, service
+        self.links: set[Link] = set()
+        # Set while another process of this node shares its work: where a connection that lies between
+        # requests goes, who is told of a job that was taken, and who may know an unknown call-back's job.
+        self.pass_on: Callable[[socket.socket, bool, float], None] | None = None
+        self.opened: Callable[[str], None] | None = None
+        self.call_back_elsewhere: Callable[[bytes], Awaitable[bool]] | None = None
         self._ended = trio.Event()
         self.waiting = 0  # clients that wait for an answer
         self._sock = sock
@@ -273,7 +317,7 @@
         """Accept until cancelled."""
         while True:
             await trio.lowlevel.wait_readable(self._sock)
-            if len(self._links) >= self._size and not self._spare():
+            if len(self.links) >= self.size and not self._spare():
                 # Guards the limit on sockets: the rest waits in the backlog until a connection ends.
                 self._ended = trio.Event()
                 with trio.move_on_after(0.05):
@@ -290,11 +334,12 @@
                     self._spare()
                 await trio.sleep(0.05)
                 continue
-            self._adopt(sock)
+            self.adopt(sock)
 
-    def _adopt(self, sock: socket.socket) -> None:
+    def adopt(self, sock: socket.socket, used: bool = False, age: float = 0.0) -> None:
+        """Serve a connection that was accepted here, or by the process before this one."""
         try:
-            link = Link(self, sock)
+            link = Link(self, sock, used, age)
         except OSError:
             sock.close()
             return
@@ -306,14 +351,14 @@
             self.say("connection-failed", error=repr(error))
             link.drop()
             return
-        self._links.add(link)
+        self.links.add(link)
         self.nursery.start_soon(self._run, link)
 
     async def _run(self, link: Link) -> None:
         try:
             await link.run()
         finally:
-            self._links.discard(link)
+            self.links.discard(link)
             self._ended.set()
 
     def room(self) -> bool:
@@ -323,23 +368,23 @@
         answer them, all would wait until their deadlines.
         """
         taking = self.service.state < Serving.REFUSING
-        return taking and self.waiting < self._size - max(4, self._size // _KEPT_FOR_CALLBACKS)
+        return taking and self.waiting < self.size - max(4, self.size // _KEPT_FOR_CALLBACKS)
 
     def _spare(self) -> bool:
         """End a connection to make room: of those that were never used, else of all, the one longest so."""
         now = trio.current_time()
-        spare = [link for link in self._links if now > link.since + link.spare_after]
+        spare = [link for link in self.links if now > link.since + link.spare_after]
         if not spare:
             return False
         longest = min(spare, key=lambda link: (link.used, link.since))
         longest.end()
-        self._links.discard(longest)
+        self.links.discard(longest)
         return True
 
     @property
     def unsent(self) -> bool:
         """Whether part of an answer still waits to be written on some connection."""
-        return any(link.unsent for link in self._links)
+        return any(link.unsent for link in self.links)
 
     async def sweep(self) -> None:
         """End what says nothing, or does not go on with what it began, in time for its peer to notice."""
@@ -348,23 +393,43 @@
             now = trio.current_time()
             if self.service.state >= Serving.CLOSING:
                 self.end_idle()
-            for link in [link for link in self._links if now > link.since + link.limit]:
+            for link in [link for link in self.links if now > link.since + link.limit]:
                 link.end()
             # Guards against clients that open a connection for each request and leave the last one lying: the
             # places that they may hold here run out, and their next requests with them.
             idle = sorted(
-                (link for link in self._links if link.used and link.idle), key=lambda link: link.since
+                (link for link in self.links if link.used and link.idle), key=lambda link: link.since
             )
-            for link in idle[: max(0, len(idle) + self.waiting - int(self._size * _KEPT))]:
+            for link in idle[: max(0, len(idle) + self.waiting - int(self.size * _KEPT))]:
                 if now > link.since + _SPARE_IDLE:
                     link.end()
 
+    @property
+    def begun(self) -> bool:
+        """Whether part of a request has come on some connection."""
+        return any(link.begun for link in self.links)
+
+    @property
+    def ready(self) -> bool:
+        """What those who send clients are told.
+
+        Guards against a no while another process of this node takes them: it would be left for seconds.
+        """
+        if self.pass_on is not None:
+            return not self.service.drained
+        return self.service.state is Serving.OPEN
+
+    def pass_idle(self) -> None:
+        """Give every connection that lies between requests to the process that has taken over."""
+        for link in list(self.links):
+            link.pass_on()
+
     def end_idle(self) -> None:
         """End every connection that lies idle after use.
 
         Guards against the loss of a call-back whose connection has come, but not yet its first byte.
         """
-        for link in [link for link in self._links if link.used and link.idle]:
+        for link in [link for link in self.links if link.used and link.idle]:
             link.end()
 
     def close(self) -> None:
--- /dev/null
+++ b/burlmoor/net/peer.py
@@ -0,0 +1,275 @@
+"""The link between two processes of one node while one takes over from the other."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+import trio
+
+from burlmoor.core import Say
+from burlmoor.net.target_group import HostList
+from burlmoor.operators import ByHandSet
+
+VERSION = 1
+_MESSAGE_LIMIT = 160 * 1024  # a call-back's body is 64 KiB at most; a list is far shorter
+_QUEUE_LIMIT = 2048  # messages that wait to go out: a peer that reads nothing is as good as gone
+_PENDING_LIMIT = 1024  # questions without an answer
+_PATH_LIMIT = 100  # bytes that the kernel takes of a Unix socket's path
+
+
+class Hello(msgspec.Struct, tag=True):
+    """New to old: I would take over."""
+
+    version: int = VERSION
+
+
+class Snapshot(msgspec.Struct, tag=True):
+    """Old to new: how things stand."""
+
+    by_hand: ByHandSet
+    hosts: HostList | None
+    ids: list[str]
+    clients: int
+    targets: int
+
+
+class Accepting(msgspec.Struct, tag=True):
+    """New to old: I accept from now on."""
+
+
+class Holds(msgspec.Struct, tag=True):
+    """Old to new: I accept no more, and still hold so many connections."""
+
+    clients: int
+    targets: int
+
+
+class Opened(msgspec.Struct, tag=True):
+    """Old to new: I have taken a job that was half read when you began."""
+
+    id: str
+
+
+class Obey(msgspec.Struct, tag=True):
+    """Either way: an operator's call that has been carried out here."""
+
+    number: int
+    path: str
+    name: str
+
+
+class CalledBack(msgspec.Struct, tag=True):
+    """Either way: a call-back for a job that is not known here."""
+
+    number: int
+    body: bytes
+
+
+class Taken(msgspec.Struct, tag=True):
+    """Either way: `Obey` or `CalledBack` has been carried out here."""
+
+    number: int
+
+
+class Client(msgspec.Struct, tag=True):
+    """Old to new, with its descriptor: a client's connection that lies between requests."""
+
+    used: bool
+    age: float  # seconds since the accept
+
+
+Message = Hello | Snapshot | Accepting | Holds | Opened | Obey | CalledBack | Taken | Client
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+class Side(Protocol):
+    """Who deals with what a peer says."""
+
+    def told(self, peer: Peer, message: Message, sock: socket.socket | None) -> None:
+        """A message has come, perhaps with a connection."""
+
+    def lost(self, peer: Peer) -> None:
+        """The peer is gone: whatever it was, this process goes on alone."""
+
+
+class Peer:
+    """Owns the socket to the other process, what waits to go out on it and the questions under way.
+
+    One datagram carries one message, so a peer that dies at any point leaves no half of one.
+    """
+
+    def __init__(self, sock: socket.socket, side: Side, nursery: trio.Nursery, say: Say) -> None:
+        sock.setblocking(False)
+        self._sock: socket.socket | None = sock
+        self._side, self._nursery, self._say = side, nursery, say
+        self._queue: deque[tuple[bytes, socket.socket | None]] = deque()
+        self._flushing = False
+        self._numbers = 0
+        self._pending: dict[int, trio.Event] = {}
+
+    @property
+    def alive(self) -> bool:
+        """Whether the other process is there, as far as is known."""
+        return self._sock is not None
+
+    @property
+    def unsent(self) -> bool:
+        """Whether something still waits to go out."""
+        return self.alive and bool(self._queue)
+
+    def post(self, message: Message, sock: socket.socket | None = None) -> bool:
+        """Send a message, with a connection that becomes the peer's; False where it can't go."""
+        if self._sock is None:
+            return False
+        data = _ENCODER.encode(message)
+        if len(data) > _MESSAGE_LIMIT or len(self._queue) >= _QUEUE_LIMIT:
+            return False
+        self._queue.append((data, sock))
+        if not self._flushing:
+            self._flush()
+        return True
+
+    async def ask(self, make: Callable[[int], Message], within: float) -> bool:
+        """Send a question; whether it was dealt with in time. A peer that is gone has nothing to do."""
+        if not self.alive:
+            return True
+        if len(self._pending) >= _PENDING_LIMIT:
+            return False
+        self._numbers += 1
+        number, answered = self._numbers, trio.Event()
+        self._pending[number] = answered
+        try:
+            if not self.post(make(number)):
+                return not self.alive
+            with trio.move_on_after(within) as scope:
+                await answered.wait()
+            return not scope.cancelled_caught
+        finally:
+            self._pending.pop(number, None)
+
+    def _flush(self) -> None:
+        while self._queue and self._sock is not None:
+            data, sock = self._queue[0]
+            fds = [] if sock is None else [sock.fileno()]
+            try:
+                socket.send_fds(self._sock, [data], fds) if fds else self._sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                self._flushing = True
+                self._nursery.start_soon(self._flush_later)
+                return
+            except OSError:
+                # Whoever reads learns of the end there, with all that the peer has said before it.
+                self._abandon()
+                return
+            self._queue.popleft()
+            if sock is not None:
+                sock.close()
+
+    async def _flush_later(self) -> None:
+        try:
+            if self._sock is not None:
+                await trio.lowlevel.wait_writable(self._sock)
+        except trio.ClosedResourceError:
+            return
+        finally:
+            self._flushing = False
+        self._flush()
+
+    def _abandon(self) -> None:
+        for _, sock in self._queue:
+            if sock is not None:
+                sock.close()
+        self._queue.clear()
+
+    async def run(self) -> None:
+        """Take in what the peer says until it is gone."""
+        try:
+            while self._sock is not None:
+                await trio.lowlevel.wait_readable(self._sock)
+                if not self._receive(self._sock):
+                    break
+        except (OSError, trio.ClosedResourceError):
+            pass
+        except Exception as error:
+            # Guards against a peer of another build, or a fault here, ending the node: it goes on alone.
+            self._say("peer-failed", error=repr(error))
+        finally:
+            self.close()
+
+    def _receive(self, peer: socket.socket) -> bool:
+        try:
+            flags = socket.MSG_CMSG_CLOEXEC
+            data, fds, how, _ = socket.recv_fds(peer, _MESSAGE_LIMIT, 1, flags)
+        except (BlockingIOError, InterruptedError, ConnectionResetError):
+            # The kernel tells of a reset before what was said until then: the end itself reads as empty.
+            return True
+        sock = socket.socket(fileno=fds[0]) if fds else None
+        try:
+            if not data or how & socket.MSG_TRUNC:
+                return False
+            message = _DECODER.decode(data)
+        except BaseException:
+            if sock is not None:
+                sock.close()
+            raise
+        if isinstance(message, Taken):
+            answered = self._pending.get(message.number)
+            if answered is not None:
+                answered.set()
+        else:
+            self._side.told(self, message, sock)
+        return True
+
+    def close(self) -> None:
+        """End the link; what was asked counts as dealt with, since the peer has nothing any more."""
+        sock, self._sock = self._sock, None
+        if sock is None:
+            return
+        trio.lowlevel.notify_closing(sock)
+        sock.close()
+        self._abandon()
+        for answered in self._pending.values():
+            answered.set()
+        self._side.lost(self)
+
+
+def _unix() -> socket.socket:
+    return socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_CLOEXEC)
+
+
+def reach(path: Path) -> socket.socket | None:
+    """A connection to the process that listens there; None where none does, or the path is stale."""
+    sock = _unix()
+    try:
+        sock.connect(str(path))
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
+def listen_at(path: Path) -> socket.socket:
+    """Listen there from now on, whoever did before; OSError where that cannot be."""
+    fresh = path.with_name(f"{path.name}.new")
+    if len(str(fresh).encode()) > _PATH_LIMIT:
+        raise OSError(f"{path}: the path is too long for a socket")
+    sock = _unix()
+    try:
+        sock.setblocking(False)
+        with suppress(FileNotFoundError):
+            fresh.unlink()
+        sock.bind(str(fresh))
+        sock.listen(4)
+        # In one step: who looks there finds the process before or this one, never nothing.
+        fresh.rename(path)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/burlmoor/net/pool.py
+++ b/burlmoor/net/pool.py
@@ -79,7 +79,7 @@
     """Owns the idle connections, freshest last, and the count of all of them."""
 
     def __init__(self, idle_limit: float, connect_timeout: float, size: int) -> None:
-        self.idle_limit, self._connect_timeout, self._size = idle_limit, connect_timeout, size
+        self.idle_limit, self._connect_timeout, self.size = idle_limit, connect_timeout, size
         self._idle: dict[str, list[Link]] = {}
         self._shorter, self._shorter_until = idle_limit, 0.0
         self.open = 0
@@ -122,7 +122,7 @@
 
     async def connect(self, dial: str) -> Link:
         """A new connection, whatever is idle."""
-        if self.open >= self._size and not self.spare():
+        if self.open >= self.size and not self.spare():
             raise NotConnected("every connection is busy")
         self.open += 1
         stream: Stream | None = None
--- a/burlmoor/net/stream.py
+++ b/burlmoor/net/stream.py
@@ -125,11 +125,17 @@
             except OSError:
                 return
 
-    def close(self) -> None:
-        """Close the socket; whoever waits on it is woken."""
+    def detach(self) -> socket.socket | None:
+        """Let go of the socket, still open; whoever waits on it is woken."""
         sock, self._sock = self._sock, None
         if sock is not None:
             trio.lowlevel.notify_closing(sock)
+        return sock
+
+    def close(self) -> None:
+        """Close the socket; whoever waits on it is woken."""
+        sock = self.detach()
+        if sock is not None:
             sock.close()
 
 
--- a/burlmoor/net/target_group.py
+++ b/burlmoor/net/target_group.py
@@ -77,21 +77,19 @@
             return None
         return target
 
-    def take_out(self, name: str) -> bool:
-        """Nothing more goes to this target until it is put back; False where no target has this name."""
-        out = self.by_hand.out
-        if name not in self._targets and name not in out:
-            return False
-        if name not in out:
-            out[name] = time.time() * 1000.0
+    def knows(self, name: str) -> bool:
+        """Whether a target has this name, or had when it was taken out."""
+        return name in self._targets or name in self.by_hand.out
+
+    def take_out(self, name: str) -> None:
+        """Nothing more goes to this target until it is put back; told again, it changes nothing."""
+        if name not in self.by_hand.out:
+            self.by_hand.out[name] = time.time() * 1000.0
             self.by_hand.started.pop(name, None)
             self._tell([name])
-        return True
 
-    def put_back(self, name: str) -> bool:
-        """The list holds for this target again; False where no target has this name."""
-        if name not in self._targets and name not in self.by_hand.out:
-            return False
+    def put_back(self, name: str) -> None:
+        """The list holds for this target again."""
         since = self.by_hand.out.pop(name, None)
         if since is not None:
             host = self._hosts.get(name)
@@ -102,7 +100,6 @@
                 # What was open may be of the process before, and would lose the next job written to it.
                 self._pool.drop(host.dial)
             self._tell([name])
-        return True
 
     def set_by_hand(self, given: ByHand) -> None:
         """What is given is laid over the list from now on."""
@@ -126,6 +123,16 @@
             self._apply(given)
         self._core.listed(m.Form.CACHED, self._entries(given.hosts if given else []))
 
+    def whole(self) -> HostList | None:
+        """The list as this node has it."""
+        return None if self.version is None else HostList(self.version, True, list(self._hosts.values()))
+
+    def take_up(self, given: HostList | None) -> None:
+        """Go on from the list that the process before this one had: it is newer than `known`."""
+        if given is not None:
+            self._apply(given)
+            self._core.listed(m.Form.FULL, self._entries(given.hosts))
+
     def apply(self, body: bytes) -> None:
         """Take in an answer of discovery; ValueError if it is not one."""
         given = _DECODER.decode(body)
--- a/burlmoor/operators.py
+++ b/burlmoor/operators.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 
 import msgspec
 
 from burlmoor.core import Say
-from burlmoor.net.control import Call, Result
+from burlmoor.net.control import NAMED, Call, Result
 from burlmoor.net.serving import Service, Serving
 from burlmoor.net.target_group import ByHand, TargetGroup
 
 
-class Set(msgspec.Struct):
+class ByHandSet(msgspec.Struct):
     """All that is set by hand."""
 
     executors: ByHand = msgspec.field(default_factory=ByHand)
@@ -26,30 +27,36 @@
 
     def __init__(self, group: TargetGroup, service: Service, path: Path | None, say: Say) -> None:
         self._group, self._service, self._path, self._say = group, service, path, say
-        self.serving = True  # whether this process accepts clients
+        self.serving = False  # whether this process accepts clients
+        # What tells the other process of the node, if there is one, of a call that was carried out here.
+        self.elsewhere: Callable[[Call], Awaitable[None]] | None = None
 
     async def obey(self, call: Call) -> Result:
         """Carry out a call; a no has changed nothing."""
         if call.path == "/ready":
             ready = self.serving and self._service.state is Serving.OPEN
             return Result(200 if ready else 503, self._shown(ready))
-        if not self._apply(call):
+        if call.path in NAMED and not self._group.knows(call.name):
             return Result(404, {"error": "no executor has this name"})
+        self.apply(call)
         self._save()
         self._say("by-hand", call=call.path, name=call.name)
+        if self.elsewhere is not None:
+            # A yes holds for the whole node: the other process may still send, too.
+            await self.elsewhere(call)
         return Result(200, self._shown(self._service.state is Serving.OPEN))
 
-    def _apply(self, call: Call) -> bool:
+    def apply(self, call: Call) -> None:
+        """What a call sets holds from now on, whether the list has the executor or not."""
         match call.path:
             case "/executors/disable":
-                return self._group.take_out(call.name)
+                self._group.take_out(call.name)
             case "/executors/enable":
-                return self._group.put_back(call.name)
+                self._group.put_back(call.name)
             case "/drain":
                 self._service.drain()
             case "/undrain":
                 self._service.undrain()
-        return True
 
     def _shown(self, ready: bool) -> dict[str, object]:
         drained, out = self._service.drained, sorted(self._group.by_hand.out)
@@ -60,12 +67,12 @@
         if self._path is None or not self._path.exists():
             return
         try:
-            self.take_up(msgspec.json.decode(self._path.read_bytes(), type=Set))
+            self.take_up(msgspec.json.decode(self._path.read_bytes(), type=ByHandSet))
         except (OSError, msgspec.MsgspecError, UnicodeDecodeError) as error:
             # Guards the start: a node that can't read what was set still serves.
             self._say("by-hand-unread", path=self._path.name, error=str(error))
 
-    def take_up(self, given: Set) -> None:
+    def take_up(self, given: ByHandSet) -> None:
         """What is given holds from now on."""
         self._group.set_by_hand(given.executors)
         if given.drained:
@@ -74,14 +81,14 @@
             self._service.undrain()
 
     @property
-    def set(self) -> Set:
+    def set(self) -> ByHandSet:
         """All that is set now."""
-        return Set(self._group.by_hand, self._service.drained)
+        return ByHandSet(self._group.by_hand, self._service.drained)
 
     def _save(self) -> None:
         if self._path is None:
             return
-        fresh = self._path.with_suffix(".new")
+        fresh = self._path.with_name(f"{self._path.name}.{os.getpid()}")  # the other process writes its own
         try:
             # Replaced in one step: a process that ends here leaves the old file or the new one, whole.
             fresh.write_bytes(msgspec.json.encode(self.set))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -190,7 +190,7 @@
 
     lines: list[str] = []
     play(story, lines=lines)
-    assert "control-failed" in lines[0]
+    assert "control-failed" in lines[-1]
 
 
 async def ready(made: Stage) -> int:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -279,7 +279,7 @@
 
     lines: list[str] = []
     play(story, lines=lines)
-    assert [json.loads(line)["event"] for line in lines] == ["reload-failed"]
+    assert [json.loads(line)["event"] for line in lines] == ["started", "reload-failed"]
 
 
 LONG = b"POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n"
@@ -344,7 +344,7 @@
         for wire in usual:
             assert (await made.answer(wire)).status == 200
         crowd = [await made.client() for _ in range(100)]
-        await made.until(lambda: len(made.node.front._links) > 40)
+        await made.until(lambda: len(made.node.front.links) > 40)
         for number, wire in enumerate(usual):
             await made.ask(wire, "once", f"b{number}")
         await made.until(lambda: len(made.jobs) == 6)
@@ -361,7 +361,7 @@
             await made.until(lambda jobs=number + 1: len(made.jobs) == jobs)  # type: ignore[misc]
             await made.tell("done", "fine")
             assert (await made.answer(wires[-1])).status == 200
-        await made.until(lambda: len(made.node.front._links) < 20)
+        await made.until(lambda: len(made.node.front.links) < 20)
         assert await wires[0].read() is None
         await made.ask(wires[-1], "once", "b")
         await made.until(lambda: len(made.jobs) == 31)
