Trust cold executors by what warm ones bear, and hand what was learnt to the new process

A trace of the module each second showed six executors at 0.2 to 0.6 of their capacity with hardly a job while four warm ones were full; of 28,000 looks at cold ones, 22,000 ended in "too late" and 18,000 in "over its budget". Causes: Members.cold_allows took the listed weight (1 for all, of four cores and more) for what an executor can do, and _place divided a job's pace by the warmth, while jobs were measured to run there at 0.6 to 1.0 of the hint from 0.38 of its capacity on. After a takeover the budget's and all other figures began at nothing (fleet pace 1.17, then 1.62). Ruled out: calls (none late), executors left unused after they were put back (none), faults (6 resets).

--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from burlmoor import learnt
 from burlmoor import messages as m
 from burlmoor.decide import Dispatcher
 
@@ -146,6 +147,15 @@
         """The ids of the jobs taken here that are not forgotten."""
         return list(self._ids)
 
+    def what_is_learnt(self) -> learnt.Learnt:
+        """What the module has learnt."""
+        return learnt.copy(self._node, self.clock())
+
+    def take_up(self, given: learnt.Learnt) -> None:
+        """Go on from what the module of the process before this one has learnt."""
+        self.step()  # the list that was told comes first: figures are taken up for whom it names
+        learnt.take_up(self._node, given, self.clock())
+
     def yielded(self, yielded: bool) -> None:
         """Whether another process takes this node's jobs in this one's place."""
         self._post(m.Yielded(yielded))
--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -35,6 +35,7 @@
 FETCH = 2.0  # what the share of a slot's time spent fetching a key weighs beside it: others wait meanwhile
 SCOUTS = 3  # probes ahead of a job that must not run twice, and how often, where they are cheap
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
+SURE = 0.6  # of what a kind of executor seems to bear, what one of it is trusted with while it is cold
 CAUTION = 0.4  # the share of a cold executor's budget that the nodes together plan to use
 MUTE = 3000.0  # an executor that has told nothing for this long may not be working
 FIRST_ROOM = 4.0  # own slots at an executor before its starts tell more: with few, a new node queues up
@@ -346,15 +347,20 @@
         low = self.rules.cold_capacity
         return low + (1.0 - low) * max(0.0, age) / self.rules.cold
 
-    def cold_allows(self, worker: Worker, cost: float, warmth: float, now: float) -> bool:
+    def cold_allows(self, worker: Worker, cost: float, warmth: float, slowness: float, now: float) -> bool:
         """Rule 4: one part in `balancers` of what all nodes may send a cold executor within a window.
 
-        Where that is less than a job, a seeded draw once a window lets the right share of nodes send one.
+        What it can do once warm is taken from what warm ones of its kind bear: the slots that start promptly
+        there, at their pace. Where the part is less than a job, a seeded draw once a window lets the right
+        share of nodes send one.
         """
+        peers = (each for each in self.workers.values() if each.live and each.kind == worker.kind)
+        room = min((each.room for each in peers if self.warmth(each, now) >= 1.0), default=0.0)
         window = self.rules.fall_window
         if now >= worker.cold_window + window:
             worker.cold_window, worker.cold_sent, worker.cold_draw = now, 0.0, self.rng.random()
-        whole = CAUTION * self.rules.fall_multiple * warmth * worker.weight * window
+        able = max(worker.weight, SURE * room / slowness)
+        whole = CAUTION * self.rules.fall_multiple * warmth * able * window
         part = 0.0 if self.yielded else whole / self.settings.balancers
         return cost <= 0.5 * whole and worker.cold_sent + cost * worker.cold_draw <= part
 
@@ -580,12 +586,16 @@
                 break
             warmth = self.members.warmth(worker, now)
             fetch = setup if homes and job.key not in worker.keys and worker is not homes[0] else 0.0
-            slowness = self.book.slowness(worker, band, self.book.kind(worker.kind, now), now)
-            run = job.work * slowness / warmth + fetch
+            kind = self.book.kind(worker.kind, now)
+            slowness = self.book.slowness(worker, band, kind, now)
+            # A cold executor lacks cores, not speed: jobs are slowed there once they hold more than it has.
+            crowd = (worker.slots + job.slots) / (warmth * worker.room) if warmth < 1.0 else 1.0
+            run = job.work * slowness * max(1.0, crowd) + fetch
             expected = self.book.delay(worker, now, pace) + run
             finish = min(self.margin * expected, left if job.trial else math.inf)
             cost = job.work * job.slots
-            if finish > left or (warmth < 1.0 and not self.members.cold_allows(worker, cost, warmth, now)):
+            cold = warmth < 1.0 and not self.members.cold_allows(worker, cost, warmth, kind, now)
+            if cold or finish > left:
                 continue
             loss = 1.0 - self.book.stability(worker, now) * (1.0 - (finish / left) ** SHARPNESS)
             loss += (TASTE + FETCH * fetch / run) * (fetch > 0.0)
--- a/burlmoor/net/peer.py
+++ b/burlmoor/net/peer.py
@@ -13,6 +13,7 @@
 import trio
 
 from burlmoor.core import Say
+from burlmoor.learnt import Learnt
 from burlmoor.net.target_group import HostList
 from burlmoor.operators import ByHandSet
 
@@ -34,6 +35,7 @@
 
     by_hand: ByHandSet
     hosts: HostList | None
+    learnt: Learnt
     ids: list[str]
     clients: int
     targets: int
--- a/burlmoor/succession.py
+++ b/burlmoor/succession.py
@@ -145,8 +145,8 @@
                 if version != VERSION:
                     raise ValueError(f"version {version} of the link")
                 clients, targets = len(self._front.links), self._pool.open
-                ids = self._core.open_ids()
-                peer.post(Snapshot(self._desk.set, self._group.whole(), ids, clients, targets))
+                ids, learnt = self._core.open_ids(), self._core.what_is_learnt()
+                peer.post(Snapshot(self._desk.set, self._group.whole(), learnt, ids, clients, targets))
             case Snapshot():
                 self._take_up(message)
             case Accepting():
@@ -189,6 +189,7 @@
     def _take_up(self, given: Snapshot) -> None:
         self._desk.take_up(given.by_hand)
         self._group.take_up(given.hosts)
+        self._core.take_up(given.learnt)
         self._core.elsewhere.update(given.ids)
         self._divide(given.clients, given.targets)
         self._front.call_back_elsewhere = self._call_back_elsewhere
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -244,3 +244,38 @@
     worker = talk.node.members.workers["a0"]
     assert worker.slots == 0.0
     assert talk.node.members.warmth(worker, 2000.0) < 0.3
+
+
+def cold_sends(listed: list[m.Entry], work: float = 300.0, yielded: bool = False) -> int:
+    """How many jobs a cold executor gets in two seconds beside those that are listed."""
+    cold = m.Entry("new", zone="a", weight=1.0, kind="std", started=1.0)
+    talk = Talk(settings(balancers=2), [*listed, cold])
+    talk.now = 3000.0  # it has 0.44 of its capacity
+    if yielded:
+        talk.tell(m.Yielded(True))
+    running: list[tuple[float, m.Send]] = []
+    for ref in range(100):
+        before = len(talk.all(m.Send))
+        talk.ask(ref, work=work)
+        talk.run(20.0)
+        for send in talk.all(m.Send)[before:]:
+            talk.tell(m.Started(send.id, 0, send.executor))
+            running.append((talk.now + work, send))
+        while running and running[0][0] <= talk.now:
+            talk.end(running.pop(0)[1], m.Outcome.SERVED)
+    return sum(send.executor == "new" for send in talk.all(m.Send))
+
+
+def test_a_cold_executor_is_trusted_by_what_warm_ones_of_its_kind_bear() -> None:
+    # A listed weight of 1 says little of an executor with four cores: cold ones lay idle on a full fleet.
+    own = cold_sends([])
+    beside = cold_sends(entries(2, weight=1.0))
+    other = cold_sends([entry._replace(kind="other") for entry in entries(2, weight=1.0)])
+    assert beside > max(own, other)
+    # One of two nodes keeps well within its half of what pushes over an executor of four slots.
+    assert beside * 300.0 <= 0.75 * 0.5 * RULES.fall_multiple * 4.0 * 0.52 * RULES.fall_window
+
+
+def test_a_process_that_has_yielded_leaves_cold_executors_to_the_other() -> None:
+    assert cold_sends(entries(2, weight=1.0)) > 0
+    assert cold_sends(entries(2, weight=1.0), yielded=True) == 0
