Trust cold executors with all that warm ones bear, and let others stand by for cold homes of a key

A trace of jobs that found no place: mostly all four homes of their key cold (over budget or too slow) or full, while executors outside the homes were free. At fault: `homes[:KEY_HOMES]` in _place, and a budget of 0.6 of what warm ones bear, which planned a sixth of what the rule allows. Ruled out: calls, faults, the first list of a new process.

--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -35,7 +35,6 @@
 FETCH = 2.0  # what the share of a slot's time spent fetching a key weighs beside it: others wait meanwhile
 SCOUTS = 3  # probes ahead of a job that must not run twice, and how often, where they are cheap
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
-SURE = 0.6  # of what a kind of executor seems to bear, what one of it is trusted with while it is cold
 CAUTION = 0.4  # the share of a cold executor's budget that the nodes together plan to use
 MUTE = 3000.0  # an executor that has told nothing for this long may not be working
 FIRST_ROOM = 4.0  # own slots at an executor before its starts tell more: with few, a new node queues up
@@ -359,7 +358,7 @@
         window = self.rules.fall_window
         if now >= worker.cold_window + window:
             worker.cold_window, worker.cold_sent, worker.cold_draw = now, 0.0, self.rng.random()
-        able = max(worker.weight, SURE * room / slowness)
+        able = max(worker.weight, room / slowness)
         whole = CAUTION * self.rules.fall_multiple * warmth * able * window
         part = 0.0 if self.yielded else whole / self.settings.balancers
         return cost <= 0.5 * whole and worker.cold_sent + cost * worker.cold_draw <= part
@@ -572,7 +571,8 @@
         homes = reach.home(job.key)
         if self.strict:
             homes = [worker for worker in homes if worker.faults < FAULTS or now >= worker.test_at]
-        homes = homes[:KEY_HOMES]
+        # Guards against jobs refused beside free executors: a cold home takes little, so another stands by.
+        homes = homes[: KEY_HOMES + sum(self.members.warmth(each, now) < 1.0 for each in homes[:KEY_HOMES])]
         band = self.book.band(job.work, now)
         left = max(job.useful_until - now, 1e-3)
         setup = self.book.setup(now) if job.key else 0.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -246,21 +246,26 @@
     assert talk.node.members.warmth(worker, 2000.0) < 0.3
 
 
-def cold_sends(listed: list[m.Entry], work: float = 300.0, yielded: bool = False) -> int:
-    """How many jobs a cold executor gets in two seconds beside those that are listed."""
+def cold_sends(listed: list[m.Entry], slots: int = 4, yielded: bool = False) -> int:
+    """How many jobs of 300 ms a cold executor gets in two seconds beside those listed, of so many slots."""
+    work = 300.0
     cold = m.Entry("new", zone="a", weight=1.0, kind="std", started=1.0)
     talk = Talk(settings(balancers=2), [*listed, cold])
     talk.now = 3000.0  # it has 0.44 of its capacity
     if yielded:
         talk.tell(m.Yielded(True))
     running: list[tuple[float, m.Send]] = []
+    waiting: list[m.Send] = []
     for ref in range(100):
         before = len(talk.all(m.Send))
         talk.ask(ref, work=work)
         talk.run(20.0)
-        for send in talk.all(m.Send)[before:]:
-            talk.tell(m.Started(send.id, 0, send.executor))
-            running.append((talk.now + work, send))
+        waiting += talk.all(m.Send)[before:]
+        for send in list(waiting):
+            if sum(other.executor == send.executor for _, other in running) < slots:
+                waiting.remove(send)
+                talk.tell(m.Started(send.id, 0, send.executor))
+                running.append((talk.now + work, send))
         while running and running[0][0] <= talk.now:
             talk.end(running.pop(0)[1], m.Outcome.SERVED)
     return sum(send.executor == "new" for send in talk.all(m.Send))
@@ -279,3 +284,13 @@
 def test_a_process_that_has_yielded_leaves_cold_executors_to_the_other() -> None:
     assert cold_sends(entries(2, weight=1.0)) > 0
     assert cold_sends(entries(2, weight=1.0), yielded=True) == 0
+
+
+def test_another_executor_stands_by_for_a_home_of_a_key_that_is_cold() -> None:
+    # A rolling deploy or executors put back leave keys whose homes are all cold, beside free executors.
+    listed = entries(8, weight=1.0)
+    talk = Talk(listed=listed)
+    homes = [worker.id for worker in talk.node.members.reach(None).home("k")[:4]]
+    cold = [entry._replace(started=900.0) if entry.executor in homes else entry for entry in listed]
+    talk = Talk(listed=cold)
+    assert talk.placed(1, key="k", work=2000.0, patience=6000.0).executor not in homes
