Send a repeatable job elsewhere when its connection to an executor has fallen silent

At fault: Forwards._attempt read without a limit. Ruled out: executors (the same ones answered on other connections meanwhile), the module (it moves a job only from an executor that tells nothing at all).

--- a/burlmoor/net/forwards.py
+++ b/burlmoor/net/forwards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +15,8 @@
 from burlmoor.net.target import BrokenReply, Reply
 from burlmoor.net.target_group import TargetGroup
 
+# Seconds in which a target takes or refuses a forward: measured 0.3 at most, where it stood still meanwhile.
+_TAKEN_WITHIN = 0.45
 _GIVE_UP_WITHIN = 2.0  # seconds that a DELETE may take
 _PROBE_WITHIN = 0.5
 _TAKEN = 202
@@ -86,8 +89,15 @@
             link = await self._written(forward)
         except (NotConnected, NotSent):
             return m.Outcome.UNREACHABLE
+        # What must not run twice can't go elsewhere anyway, so it waits for as long as its client does.
+        limit = math.inf if forward.job.once else _TAKEN_WITHIN
+        reply: Reply | None = None
         try:
-            reply = await link.read()
+            with trio.move_on_after(limit):
+                reply = await link.read()
+            if reply is None:
+                # Guards against a connection that fell silent: a job would wait there until its deadline.
+                raise BrokenReply("nothing came")
         except BrokenReply:
             self._pool.broken(link)
             link.close()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -157,6 +157,20 @@
     play(story)
 
 
+def test_a_job_on_a_connection_that_fell_silent_goes_elsewhere_in_time() -> None:
+    async def story(made: Stage) -> None:
+        wire = await made.submit(ms=2000)
+        await made.until(lambda: len(made.jobs) == 2)
+        await made.until(
+            lambda: made.broken
+        )  # the silent connection is closed, which gives up what it carried
+        await made.tell("done", "fine")
+        answer = await made.answer(wire)
+        assert (answer.status, answer.body) == (200, b"fine")
+
+    play(story, "hang")
+
+
 def test_a_silent_executor_is_given_up_by_the_deadline() -> None:
     async def story(made: Stage) -> None:
         wire = await made.submit("once", ms=600)
