Reach a process two upgrades back with call-backs, and let a drained node be upgraded

Seen by reading the link again, with a story of three processes: a call-back that came to the third process was answered as taken by the second though its job was the first's; /ready of a new process on a drained node said no for ever, so that its old process would never have been stopped. At fault: Succession.told (CalledBack) and Desk.obey. Also mended: a connection from whoever may not pass one on is closed; a stopping process is woken for the time by which it answers; a fault while a call-back is passed on ends that connection only.

--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -166,6 +166,7 @@
         for job in self._jobs.values():
             if not job.over and job.deadline > at:
                 self._limit(at, job)
+        self._wake()
 
     def take(self, listener: Listener, request_id: str, request: m.Request, payload: Any) -> Job | None:
         """A request's last byte has come; None where its id is already in use."""
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -236,15 +236,16 @@
 
         Guards against the loss of a result: the executor does not repeat what was answered.
         """
-        elsewhere, taken = self._front.call_back_elsewhere, False
+        elsewhere = self._front.call_back_elsewhere
         try:
             taken = elsewhere is not None and await elsewhere(body)
+            self._http.closing = self._http.closing or not taken
+            self._respond(204 if taken else 503, b"")
+            self.advance()
         except Exception as error:
             # Guards against one call's fault ending the node.
             self._front.say("connection-failed", error=repr(error))
-        self._http.closing = self._http.closing or not taken
-        self._respond(204 if taken else 503, b"")
-        self.advance()
+            self.end()
 
     def answer(self, answer: c.Answer) -> None:
         """The job's one final answer."""
--- a/burlmoor/operators.py
+++ b/burlmoor/operators.py
@@ -28,13 +28,16 @@
     def __init__(self, group: TargetGroup, service: Service, path: Path | None, say: Say) -> None:
         self._group, self._service, self._path, self._say = group, service, path, say
         self.serving = False  # whether this process accepts clients
+        self._inherited = False  # whether the drain was there when this process took over
         # What tells the other process of the node, if there is one, of a call that was carried out here.
         self.elsewhere: Callable[[Call], Awaitable[None]] | None = None
 
     async def obey(self, call: Call) -> Result:
         """Carry out a call; a no has changed nothing."""
         if call.path == "/ready":
-            ready = self.serving and self._service.state is Serving.OPEN
+            # Guards against an upgrade of a drained node that never ends: its old process waits for this yes.
+            inherited = self._inherited and not self._service.stopping
+            ready = self.serving and (self._service.state is Serving.OPEN or inherited)
             return Result(200 if ready else 503, self._shown(ready))
         if call.path in NAMED and not self._group.knows(call.name):
             return Result(404, {"error": "no executor has this name"})
@@ -54,8 +57,10 @@
             case "/executors/enable":
                 self._group.put_back(call.name)
             case "/drain":
+                self._inherited = False
                 self._service.drain()
             case "/undrain":
+                self._inherited = False
                 self._service.undrain()
 
     def _shown(self, ready: bool) -> dict[str, object]:
@@ -75,6 +80,7 @@
     def take_up(self, given: ByHandSet) -> None:
         """What is given holds from now on."""
         self._group.set_by_hand(given.executors)
+        self._inherited = given.drained
         if given.drained:
             self._service.drain()
         else:
--- a/burlmoor/succession.py
+++ b/burlmoor/succession.py
@@ -140,6 +140,8 @@
 
     def told(self, peer: Peer, message: Message, sock: socket.socket | None) -> None:
         """A message has come, perhaps with a connection."""
+        if sock is not None and not (isinstance(message, Client) and peer is self._before):
+            sock.close()  # nobody's: only the process before this one passes connections on
         match message:
             case Hello(version):
                 if version != VERSION:
@@ -147,11 +149,11 @@
                 clients, targets = len(self._front.links), self._pool.open
                 ids, learnt = self._core.open_ids(), self._core.what_is_learnt()
                 peer.post(Snapshot(self._desk.set, self._group.whole(), learnt, ids, clients, targets))
-            case Snapshot():
+            case Snapshot() if peer is self._before:
                 self._take_up(message)
-            case Accepting():
+            case Accepting() if peer is self._after:
                 self._yield(peer)
-            case Holds(clients, targets):
+            case Holds(clients, targets) if peer is self._before:
                 self._divide(clients, targets)
                 self._yielded.set()
             case Opened(request_id):
@@ -160,11 +162,13 @@
                 self._desk.apply(Call(path, name))
                 peer.post(Taken(number))
             case CalledBack(number, body):
-                callbacks.take(self._core, body)
-                peer.post(Taken(number))
-            case Client(used, age):
-                if sock is not None:
-                    self._front.adopt(sock, used, age)
+                found = callbacks.take(self._core, body)
+                if found is callbacks.Found.UNKNOWN and self._peers(but=peer):
+                    self._nursery.start_soon(self._call_back_further, peer, number, body)
+                else:
+                    peer.post(Taken(number))
+            case Client(used, age) if peer is self._before and sock is not None:
+                self._front.adopt(sock, used, age)
 
     def lost(self, peer: Peer) -> None:
         """The peer is gone: whatever it was, this process goes on alone."""
@@ -231,8 +235,15 @@
 
     # --- what this process says -----------------------------------------------------------------
 
-    def _peers(self) -> list[Peer]:
-        return [peer for peer in (self._before, self._after) if peer is not None and peer.alive]
+    def _peers(self, but: Peer | None = None) -> list[Peer]:
+        both = (self._before, self._after)
+        return [peer for peer in both if peer is not None and peer is not but and peer.alive]
+
+    async def _call_back_further(self, peer: Peer, number: int, body: bytes) -> None:
+        """Guards against lost results where a third process starts before the first has ended."""
+        asked = [await other.ask(lambda n: CalledBack(n, body), 0.3) for other in self._peers(but=peer)]
+        if all(asked):
+            peer.post(Taken(number))
 
     def _opened(self, request_id: str) -> None:
         if self._after is not None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -158,6 +158,31 @@
     trio.run(story)
 
 
+def test_a_drained_node_is_upgraded_twice_while_the_first_process_still_has_a_job(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with house(tmp_path) as made:
+            first = await made.start()
+            await first.ready()
+            wire = await made.submit("once", "a1", 5000)
+            await made.until(lambda: made.jobs)
+            second = await made.start()
+            await second.ready()
+            assert (await second.call("/drain")).status == 200
+            third = await made.start()
+            # This process is ready, and its old one may go; the node is drained all the same.
+            await third.ready()
+            assert await ready(made) == 503
+            # The result comes to the third process, for a job of the first.
+            assert await made.tell("done", "far") == 204
+            assert (await made.answer(wire)).body == b"far"
+            assert (await third.call("/undrain")).status == 200
+            assert await ready(made) == 200
+            for process in (first, second, third):
+                await process.stop()
+
+    trio.run(story)
+
+
 def test_a_new_process_that_fails_changes_nothing(tmp_path: Path) -> None:
     async def story() -> None:
         async with house(tmp_path) as made:
