--- a/burlmoor/net/control.py
+++ b/burlmoor/net/control.py
@@ -9,7 +9,7 @@
 import trio
 
 from burlmoor.core import Say
-from burlmoor.net.stream import OUT_OF_SOCKETS, Stream, listening
+from burlmoor.net.stream import Stream, accept, listening
 
 _HEAD_LIMIT, _BODY_LIMIT = 4096, 4096
 _ANSWER_LIMIT = 16 * 1024
@@ -130,16 +130,13 @@
         """Accept until cancelled."""
         while True:
             await trio.lowlevel.wait_readable(self._sock)
+            sock = await accept(self._sock, self._ran_out)
+            if sock is None:
+                continue
             try:
-                sock, _ = self._sock.accept()
                 stream = Stream(sock, _HEAD_LIMIT + _BODY_LIMIT, _ANSWER_LIMIT)
-            except (BlockingIOError, InterruptedError):
-                continue
-            except OSError as error:
-                # Guards against the end of the node, or a spin, when descriptors run out.
-                if error.errno in OUT_OF_SOCKETS:
-                    self._say("out-of-sockets", error=str(error))
-                await trio.sleep(0.02)
+            except OSError:
+                sock.close()
                 continue
             if len(self._calls) >= _PLACES:
                 # Guards against callers that stay: those who have had longest to say something go first.
@@ -148,6 +145,9 @@
             self._calls[stream] = scope = trio.CancelScope()
             self._nursery.start_soon(self._serve, stream, scope)
 
+    def _ran_out(self, error: OSError) -> None:
+        self._say("out-of-sockets", error=str(error))
+
     async def _serve(self, stream: Stream, scope: trio.CancelScope) -> None:
         try:
             with scope:
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -12,7 +12,7 @@
 from burlmoor.net import callbacks
 from burlmoor.net.listener import CallBack, JobAsked, ListenerConnection, ReadyAsked, Rejected
 from burlmoor.net.serving import Service, Serving
-from burlmoor.net.stream import OUT_OF_SOCKETS, Stream
+from burlmoor.net.stream import Stream, accept
 
 _RING_IN, _RING_OUT = 16 * 1024, 128 * 1024
 # Seconds that a request may take to come in, the first one counted from the accept. True clients take up to
@@ -332,18 +332,13 @@
                 with trio.move_on_after(0.05):
                     await self._ended.wait()
                 continue
-            try:
-                sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError):
-                continue
-            except OSError as error:
-                if error.errno in OUT_OF_SOCKETS:
-                    # Guards against a spin, and against the end of the node, when descriptors run out.
-                    self.say("out-of-sockets", error=str(error))
-                    self._spare()
-                await trio.sleep(0.05)
-                continue
-            self.adopt(sock)
+            sock = await accept(self._sock, self._ran_out)
+            if sock is not None:
+                self.adopt(sock)
+
+    def _ran_out(self, error: OSError) -> None:
+        self.say("out-of-sockets", error=str(error))
+        self._spare()
 
     def adopt(self, sock: socket.socket, used: bool = False, age: float = 0.0) -> None:
         """Serve a connection that was accepted here, or by the process before this one."""
--- a/burlmoor/net/stream.py
+++ b/burlmoor/net/stream.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 
 import trio
@@ -166,6 +167,20 @@
     return sock
 
 
+async def accept(sock: socket.socket, ran_out: Callable[[OSError], None]) -> socket.socket | None:
+    """The connection that waits on a listening socket; None where there is none to be had."""
+    try:
+        return sock.accept()[0]
+    except (BlockingIOError, InterruptedError):
+        return None
+    except OSError as error:
+        # Guards against a spin, and against the end of the node, when descriptors run out.
+        if error.errno in OUT_OF_SOCKETS:
+            ran_out(error)
+        await trio.sleep(0.05)
+        return None
+
+
 async def connect(dial: str, limit: int) -> Stream:
     """A new connection; OSError where it is refused. The caller bounds the time."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,7 +4,7 @@
 
 import json
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from typing import Any, NamedTuple
 
@@ -247,3 +247,14 @@
         await nursery.start(run)
         yield made
         nursery.cancel_scope.cancel()
+
+
+def play(story: Callable[[Stage], Awaitable[Any]], *script: str, **given: Any) -> Any:
+    """Play a story against a node; what it returns."""
+
+    async def run() -> Any:
+        with trio.fail_after(20.0):
+            async with stage(*script, **given) as made:
+                return await story(made)
+
+    return trio.run(run)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,7 +4,6 @@
 
 import json
 import socket
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -14,16 +13,7 @@
 from burlmoor import messages as m
 from burlmoor.net.control import Call, ControlConnection, Result
 from burlmoor.net.serving import Service, Serving
-from tests.peers import Stage, Wire, stage
-
-
-def play(story: Callable[[Stage], Awaitable[Any]], *script: str, **given: Any) -> Any:
-    async def run() -> Any:
-        with trio.fail_after(20.0):
-            async with stage(*script, **given) as made:
-                return await story(made)
-
-    return trio.run(run)
+from tests.peers import Stage, Wire, play
 
 
 @pytest.mark.parametrize(
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -5,7 +5,6 @@
 import json
 import socket
 import time
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -14,19 +13,10 @@
 import trio
 
 from burlmoor.net.serving import Serving
-from tests.peers import Message, Stage, stage
+from tests.peers import Message, Stage, play
 from tests.test_config import written
 
 
-def play(story: Callable[[Stage], Awaitable[Any]], *script: str, **given: Any) -> Any:
-    async def run() -> Any:
-        with trio.fail_after(20.0):
-            async with stage(*script, **given) as made:
-                return await story(made)
-
-    return trio.run(run)
-
-
 @pytest.mark.parametrize(
     ("name", "act", "status", "forwards"),
     [
