--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -63,9 +63,10 @@
         kept = given.folder / f"{name}.by-hand" if given.folder else None
         self.desk = Desk(self.group, self.service, kept, log)
         # Only where the platform holds the socket that clients come to can two processes share it.
-        link = given.folder / f"{name}.link" if given.folder and given.passed is not None else None
+        shared = given.passed is not None
+        link = given.folder / f"{name}.link" if given.folder and shared else None
         self.succession = Succession(
-            self.core, self.front, self.pool, self.group, self.desk, link, nursery, log
+            self.core, self.front, self.pool, self.group, self.desk, link, shared, nursery, log
         )
         self.desk.restore()
         self.control = Control(self.desk, given.control, nursery, log) if given.control else None
--- a/burlmoor/succession.py
+++ b/burlmoor/succession.py
@@ -49,11 +49,12 @@
         group: TargetGroup,
         desk: Desk,
         path: Path | None,
+        shared: bool,
         nursery: trio.Nursery,
         say: Say,
     ) -> None:
         self._core, self._front, self._pool, self._group, self._desk = core, front, pool, group, desk
-        self._path, self._nursery, self._say = path, nursery, say
+        self._path, self._shared, self._nursery, self._say = path, shared, nursery, say
         self._before: Peer | None = None
         self._after: Peer | None = None
         self._clients, self._targets = front.size, pool.size
@@ -87,6 +88,9 @@
         )
         if self._path is not None:
             await self._await_successors(self._path)
+        elif self._shared:
+            # Another process may accept beside this one, and call-backs would reach the wrong one.
+            self._say("no-succession", error="TMPDIR is not set")
 
     def end(self) -> None:
         """End the links: this process has nothing more to say."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -281,4 +281,6 @@
             made.address = held.getsockname()
             assert await ready(made) == 200
 
-        play(story, passed=held.dup().detach())
+        lines: list[str] = []
+        play(story, passed=held.dup().detach(), lines=lines)
+        assert "no-succession" in lines[-1]  # there is no folder for a link
