--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -197,7 +197,8 @@
     try:
         given = config.load(os.environ)
     except config.BadConfig as error:
-        print(f"burlmoor: {error}", file=sys.stderr)
+        for line in str(error).splitlines():
+            print(f"burlmoor: {line}", file=sys.stderr)
         return 2
     failed = 0
     try:
--- /dev/null
+++ b/burlmoor/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `burlmoor` command; the node itself imports none of it."""
--- a/burlmoor/config.py
+++ b/burlmoor/config.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
@@ -14,9 +14,12 @@
 from burlmoor.net.target_group import HostList
 from burlmoor.settings import NodeSettings, settings_from
 
+if TYPE_CHECKING:
+    from burlmoor.options import Options
+
 
 class BadConfig(Exception):
-    """The configuration cannot be meant; the text names the field."""
+    """The configuration cannot be meant; the text names the field, a line a fault."""
 
 
 class _Limits(msgspec.Struct):
@@ -49,6 +52,7 @@
     control: tuple[str, int] | None = None  # where operators' calls come in
     passed: int | None = None  # the descriptor of a socket that listens already
     folder: Path | None = None  # what outlives this process, for the one that comes next
+    options: Options | None = None  # what operators have switched on; None: nothing
 
 
 def load(environment: Mapping[str, str], again: bool = False) -> Config:
@@ -92,9 +96,24 @@
         control=_address("control", control) if control else None,
         passed=None if not passed or again else _listening(passed),
         folder=Path(folder) if folder else None,
+        options=options_from(environment),
     )
 
 
+def options_from(environment: Mapping[str, str]) -> Options | None:
+    """The operators' options, or `BadConfig`; None where no file is named."""
+    path = environment.get("BURLMOOR_OPTIONS")
+    if not path:
+        return None
+    # Imported only here: a node without the file starts without what reads it.
+    from burlmoor.options import BadOptions, read  # noqa: PLC0415
+
+    try:
+        return read(Path(path))
+    except BadOptions as error:
+        raise BadConfig("\n".join(error.faults)) from error
+
+
 def _listening(text: str) -> int:
     """The descriptor of a TCP socket that listens; whoever passed it goes on owning what it is bound to."""
     try:
