Add a rig of stand-ins, and 'try' and 'load' that show and measure a node on loopback

Need: tests, drills and measurements each want the same executors, discovery and clients; nobody could see the program run without a platform.

Change: rig/ has a machine model (cores shared, slots, bounded queue, cold starts), executors with call-backs that repeat, failures by plan, discovery with dials of each node's own, clients, real node processes, and ledgers of the far sides. `burlmoor try` starts all of it; `burlmoor load` sends an open-loop load, with HDR histograms and the node's CPU. The tests' peers read HTTP through the rig.

--- /dev/null
+++ b/burlmoor/cli/load.py
@@ -0,0 +1,190 @@
+"""`burlmoor try` and `burlmoor load`."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import IO, Any
+
+import click
+import msgspec
+import trio
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
+from rich.table import Table
+
+from burlmoor.net.stream import address
+from burlmoor.rig.clients import Clients
+from burlmoor.rig.ledger import Ledger
+from burlmoor.rig.load import Generator, Meter, Report, draw
+from burlmoor.rig.machine import Spec
+from burlmoor.rig.node import Node
+from burlmoor.rig.town import KINDS, Kind, fleet, settings, town
+
+_ERR = Console(stderr=True)
+
+
+def written(report: Report, title: str) -> Table:
+    """A table of outcomes and latencies by class."""
+    table = Table(title=title)
+    counted = ("served", "refused", "failed", "no answer")
+    heads = ("class", "asked", *counted, "p50 ms", "p90 ms", "p99 ms", "max ms")
+    for head in heads:
+        table.add_column(head, justify="left" if head == "class" else "right", no_wrap=head == "class")
+    for name, tally in [*sorted(report.by_class.items()), ("all", report.total)]:
+        counts = [tally.asked, *(tally.outcomes[each] for each in counted)]
+        times = [f"{tally.at(each):.0f}" for each in (50.0, 90.0, 99.0, 100.0)]
+        table.add_row(name, *map(str, counts), *times)
+    return table
+
+
+def bar() -> Progress:
+    """A progress bar on standard error."""
+    return Progress(
+        TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn(), console=_ERR
+    )
+
+
+def told(figures: dict[str, Any], sink: IO[str] | None) -> None:
+    """Write figures as JSON where they are asked for."""
+    if sink is not None:
+        sink.write(json.dumps(figures, indent=2) + "\n")
+
+
+async def _tried(rate: float, seconds: float, seed: int, executors: int, folder: Path) -> Report:
+    arrivals = draw(rate, seconds, KINDS, seed)
+    with bar() as progress:
+        task = progress.add_task("starting", total=len(arrivals))
+        async with town(folder, fleet(executors)) as made:
+            progress.update(task, description="jobs answered")
+            meter = Meter(made.nodes[0].pid)
+            generator = Generator(made.clients, "try")
+            report = await generator.run(arrivals, lambda n: progress.advance(task, n))
+            meter.read(report)
+    return report
+
+
+_Option = Callable[[Callable[..., Any]], Callable[..., Any]]
+
+
+def _number(*names: str, default: float, least: float, most: float, help: str) -> _Option:
+    kind: Any = click.IntRange if isinstance(default, int) else click.FloatRange
+    return click.option(*names, default=default, show_default=True, type=kind(least, most), help=help)
+
+
+_SECONDS = _number("--seconds", default=8.0, least=1.0, most=3600.0, help="How long jobs come.")
+_RATE = _number("--rate", default=40.0, least=0.1, most=10_000.0, help="Jobs a second.")
+_SEED = _number("--seed", default=1, least=0, most=2**31, help="Of the jobs that are drawn.")
+_SINK = click.option(
+    "--json", "sink", type=click.File("w"), help="Write figures there; - is standard output."
+)
+
+
+@click.command("try")
+@_SECONDS
+@_RATE
+@_SEED
+@_number("--executors", default=6, least=1, most=100, help="Stand-in executors.")
+@_SINK
+def try_(seconds: float, rate: float, seed: int, executors: int, sink: IO[str] | None) -> None:
+    """A whole installation on loopback: discovery, executors, one node, clients. Needs no file."""
+    with tempfile.TemporaryDirectory(prefix="burlmoor-") as folder:
+        report = trio.run(_tried, rate, seconds, seed, executors, Path(folder))
+    _ERR.print(written(report, f"{rate:g} jobs/s for {seconds:g} s on {executors} executors"))
+    cpu = report.cpu_ms / max(1, report.total.asked)
+    _ERR.print(f"The node used {cpu:.2f} ms of CPU a job and {report.memory / 2**20:.0f} MiB.")
+    told(report.figures(), sink)
+    if report.total.outcomes["no answer"]:
+        sys.exit(1)
+
+
+@asynccontextmanager
+async def own_node(executors: dict[str, Spec], kinds: tuple[Kind, ...], folder: Path) -> AsyncIterator[Node]:
+    """One node, and a fleet in a process of its own."""
+    node = Node("n0", folder)
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-m", "burlmoor.rig"], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
+    try:
+        async with trio.open_nursery() as nursery:
+            assert process.stdin is not None and process.stdout is not None
+            plan = {"executors": executors, "relay": node.listen}
+            await process.stdin.send_all(msgspec.json.encode(plan) + b"\n")
+            line = b""
+            while not line.endswith(b"\n"):
+                line += await process.stdout.receive_some(65536)
+            at = json.loads(line)
+            await node.start(nursery, settings(kinds), at["discovery"], at["known"])
+            yield node
+            await node.stop()
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.CancelScope(shield=True):
+            await node.kill()
+            process.kill()
+            await process.wait()
+
+
+async def _loaded(to: tuple[str, int], pid: int | None, rate: float, seconds: float, seed: int,
+                  kinds: tuple[Kind, ...]) -> Report:  # fmt: skip
+    arrivals = draw(rate, seconds, kinds, seed)
+    with bar() as progress:
+        task = progress.add_task(f"{rate:g} jobs/s", total=len(arrivals))
+        clients = Clients(to, Ledger())
+        meter = Meter(pid) if pid is not None else None
+        report = await Generator([clients], f"load{seed}").run(arrivals, lambda n: progress.advance(task, n))
+        if meter is not None:
+            meter.read(report)
+        clients.close()
+    return report
+
+
+async def _own(rate: float, seconds: float, seed: int, executors: int, run_ms: float, folder: Path) -> Report:
+    kinds = tuple(kind._replace(work=run_ms) for kind in KINDS)
+    # Room for all: what is measured is the node.
+    roomy = {f"s-{n:03d}": Spec(cores=10_000.0, slots=10_000, queue=10_000) for n in range(executors)}
+    async with own_node(roomy, kinds, folder) as node:
+        return await _loaded(node.listen, node.pid, rate, seconds, seed, kinds)
+
+
+@click.command()
+@click.option(
+    "--to", metavar="HOST:PORT", help="A node that runs. [default: one of our own, with room for all]"
+)
+@click.option("--pid", type=int, help="The process of the node, for its CPU and memory.")
+@_RATE
+@_SECONDS
+@_number(
+    "--run-ms", default=50.0, least=0.1, most=60_000.0, help="How long a job runs on a core, on average."
+)
+@_number("--executors", default=14, least=1, most=1000, help="Of our own.")
+@_SEED
+@_SINK
+def load(
+    to: str | None, pid: int | None, rate: float, seconds: float, run_ms: float, executors: int, seed: int,
+    sink: IO[str] | None,
+) -> None:  # fmt: skip
+    """An open-loop load on one node: latency from the intended start, outcomes, the node's CPU a job."""
+    if to is not None:
+        try:
+            where = address(to)
+        except ValueError as error:
+            raise click.BadParameter(str(error), param_hint="--to") from error
+        kinds = tuple(kind._replace(work=run_ms) for kind in KINDS)
+        report = trio.run(_loaded, where, pid, rate, seconds, seed, kinds)
+    else:
+        with tempfile.TemporaryDirectory(prefix="burlmoor-") as folder:
+            report = trio.run(_own, rate, seconds, seed, executors, run_ms, Path(folder))
+    _ERR.print(written(report, f"{rate:g} jobs/s for {seconds:g} s"))
+    _ERR.print(f"generator behind by {report.behind_ms:.1f} ms at most")
+    if report.cpu_ms:
+        _ERR.print(f"node: {report.cpu_ms / max(1, report.total.asked):.3f} ms of CPU a job, "
+                   f"{report.memory / 2**20:.0f} MiB")  # fmt: skip
+    told(report.figures(), sink)
+    if report.total.outcomes["no answer"]:
+        sys.exit(1)
--- a/burlmoor/cli/main.py
+++ b/burlmoor/cli/main.py
@@ -13,8 +13,10 @@
 import click
 
 _VERBS = {
+    "try": "burlmoor.cli.load:try_",
     "run": "burlmoor.cli.node:run",
     "check": "burlmoor.cli.node:check",
+    "load": "burlmoor.cli.load:load",
 }
 
 
--- /dev/null
+++ b/burlmoor/rig/ledger.py
@@ -0,0 +1,90 @@
+"""What the far sides saw: clients' jobs and answers, executors' runs. Verdicts compare these alone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Asked:
+    """One request as its client saw it. Times are ms on the rig's clock; `status` 0: no answer came."""
+
+    id: str
+    job_class: str
+    sent: float
+    patience: float
+    work: float = 0.0
+    after: tuple[str, ...] = ()
+    not_before: float = 0.0  # Unix time in ms
+    answered: float | None = None
+    status: int = 0
+    retry_after: float = 0.0
+    answers: int = 0
+    body: bytes = b""
+    left: float | None = None  # when its client went away, if it did
+
+    @property
+    def served(self) -> bool:
+        """Whether the client has a result."""
+        return self.status == 200
+
+    @property
+    def refused(self) -> bool:
+        """Whether the client was told that a retry does no harm."""
+        return self.status in (429, 503)
+
+    @property
+    def latency(self) -> float:
+        """From the moment it was to be sent until its answer's last byte."""
+        return (self.answered if self.answered is not None else self.sent + self.patience) - self.sent
+
+
+@dataclass(slots=True)
+class Ran:
+    """One attempt as its executor saw it."""
+
+    id: str
+    job_class: str
+    executor: str
+    came: float
+    began: float | None = None
+    ended: float | None = None
+    end: str = ""  # done, handed back, given up, died
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Owns what the far sides saw of one run."""
+
+    asked: dict[str, Asked] = field(default_factory=dict)
+    ran: list[Ran] = field(default_factory=list)
+    strange: list[str] = field(default_factory=list)  # what no party that keeps to the protocol does
+
+    def runs(self) -> dict[str, list[Ran]]:
+        """The attempts of each id that began."""
+        found: dict[str, list[Ran]] = {}
+        for each in self.ran:
+            if each.began is not None:
+                found.setdefault(each.id, []).append(each)
+        return found
+
+    def twice(self, once: set[str]) -> list[str]:
+        """Ids of classes that must not run twice and began twice."""
+        return [ref for ref, rows in self.runs().items() if len(rows) > 1 and rows[0].job_class in once]
+
+    def unanswered(self) -> list[Asked]:
+        """Whose client stayed and never heard."""
+        return [each for each in self.asked.values() if each.answered is None and each.left is None]
+
+    def late(self, slack: float) -> list[Asked]:
+        """Whose answer came more than `slack` ms after its client's time was over."""
+        return [
+            each
+            for each in self.asked.values()
+            if each.answered is not None and each.latency > each.patience + slack
+        ]
+
+    def invented(self) -> list[str]:
+        """Served answers that no executor gave."""
+        done = {each.id for each in self.ran if each.end == "done"}
+        return [each.id for each in self.asked.values() if each.served and each.id not in done]
--- /dev/null
+++ b/burlmoor/rig/machine.py
@@ -0,0 +1,151 @@
+"""An executor's machine without sockets: cores shared by what runs, slots, a bounded queue, cold starts.
+
+Times are ms on any clock that only goes forward; work is ms on one core of speed 1. A job holds `slots` slots
+while it runs. Up to `cores` slots run at full pace each; beyond that all share the cores evenly (processor
+sharing), so nothing here sleeps and the end of each job is known ahead until the next change.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import msgspec
+
+
+class Spec(msgspec.Struct, frozen=True):
+    """What a machine is."""
+
+    cores: float = 4.0
+    slots: int = 6
+    speed: float = 1.0
+    queue: int = 24  # jobs that may wait there
+    cold_share: float = 0.15  # of its capacity when it starts
+    cold_ms: float = 10_000.0  # until it is warm; it warms evenly
+    progress_ms: float = 2000.0  # between notes on a running job; 0: none
+
+
+class Note(NamedTuple):
+    """What a machine tells of a job: `started`, `running` with the share done, `done`."""
+
+    job: str
+    state: str
+    share: float = 0.0
+
+
+@dataclass(slots=True)
+class _Held:
+    work: float
+    slots: int
+    left: float
+    note_at: float = math.inf
+    began: float = field(default=math.inf)
+
+
+class Machine:
+    """Owns the jobs that one executor has taken."""
+
+    def __init__(self, spec: Spec, now: float, cold: bool = False) -> None:
+        self.spec = spec
+        self._born = now if cold else -math.inf
+        self._now = now
+        self._running: dict[str, _Held] = {}
+        self._queue: OrderedDict[str, _Held] = OrderedDict()
+        self._slow = 1.0
+        self._still = False
+
+    @property
+    def held(self) -> int:
+        """Jobs that run or wait."""
+        return len(self._running) + len(self._queue)
+
+    def has(self, job: str) -> bool:
+        """Whether the job runs or waits here."""
+        return job in self._running or job in self._queue
+
+    def warmth(self, now: float) -> float:
+        """The share of its capacity that it has by now."""
+        spec = self.spec
+        if spec.cold_ms <= 0.0:
+            return 1.0
+        return min(1.0, spec.cold_share + (1.0 - spec.cold_share) * (now - self._born) / spec.cold_ms)
+
+    def _pace(self) -> float:
+        """Work done a ms for each job that runs."""
+        if self._still:
+            return 0.0
+        used = sum(held.slots for held in self._running.values())
+        cores = self.spec.cores * self.warmth(self._now)
+        return self.spec.speed / self._slow * min(1.0, cores / used) if used else 0.0
+
+    def _advance(self, now: float) -> None:
+        """Book the work done since the last look. Warmth counts as it was then: looks are frequent."""
+        done = (now - self._now) * self._pace()
+        for held in self._running.values():
+            held.left -= done
+        self._now = now
+
+    def offer(self, now: float, job: str, work: float, slots: int = 1) -> bool:
+        """Take a job, or turn it away unstarted where the queue is full or it can never fit."""
+        self._advance(now)
+        if slots > self.spec.slots or len(self._queue) >= self.spec.queue or self.has(job):
+            return False
+        self._queue[job] = _Held(work, slots, work)
+        return True
+
+    def drop(self, now: float, job: str) -> bool:
+        """Forget a job that waits; what runs goes on. Whether it waited."""
+        self._advance(now)
+        return self._queue.pop(job, None) is not None
+
+    def hand_back(self, now: float) -> list[str]:
+        """Let go of all that waits."""
+        self._advance(now)
+        given, self._queue = list(self._queue), OrderedDict()
+        return given
+
+    def slow_down(self, now: float, factor: float) -> None:
+        """Run this many times slower than its speed from now on."""
+        self._advance(now)
+        self._slow = factor
+
+    def stand_still(self, now: float, still: bool) -> None:
+        """Do nothing, or go on."""
+        self._advance(now)
+        self._still = still
+
+    def step(self, now: float) -> list[Note]:
+        """What has happened by now, in order."""
+        self._advance(now)
+        notes = []
+        for job, held in list(self._running.items()):
+            if held.left <= 1e-6:
+                del self._running[job]
+                notes.append(Note(job, "done"))
+            elif now >= held.note_at and not self._still:
+                held.note_at = now + self.spec.progress_ms
+                notes.append(Note(job, "running", 1.0 - held.left / held.work))
+        used = sum(held.slots for held in self._running.values())
+        while self._queue and not self._still:
+            job, held = next(iter(self._queue.items()))
+            if used + held.slots > self.spec.slots:
+                break  # in order: the head waits until it fits
+            del self._queue[job]
+            self._running[job] = held
+            used += held.slots
+            held.began = now
+            held.note_at = now + self.spec.progress_ms if self.spec.progress_ms else math.inf
+            notes.append(Note(job, "started"))
+        return notes
+
+    def due(self) -> float:
+        """When `step` has something to tell next, as things stand."""
+        pace = self._pace()
+        if pace <= 0.0:
+            return math.inf
+        ends = min((held.left / pace for held in self._running.values()), default=math.inf)
+        notes = min((held.note_at for held in self._running.values()), default=math.inf)
+        warming = self._now + 50.0 if self.warmth(self._now) < 1.0 and self._running else math.inf
+        return min(self._now + max(0.0, ends), notes, warming)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 import trio
@@ -15,56 +15,10 @@
 from burlmoor.config import Config
 from burlmoor.log import Log
 from burlmoor.net.target_group import HostList
+from burlmoor.rig.wire import Message, Wire
 from burlmoor.settings import settings_from
 from tests.test_config import OPTIONS
 
-
-class Message(NamedTuple):
-    """One HTTP message, read whole."""
-
-    start: str
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def status(self) -> int:
-        return int(self.start.split()[1])
-
-
-class Wire:
-    """Reads and writes HTTP on one connection, plainly enough for scripts."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream, self._buffer = stream, b""
-
-    async def read(self) -> Message | None:
-        while b"\r\n\r\n" not in self._buffer:
-            if not await self._more():
-                return None
-        head, _, self._buffer = self._buffer.partition(b"\r\n\r\n")
-        start, *lines = head.decode().split("\r\n")
-        headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
-        size = int(headers.get("content-length", 0))
-        while len(self._buffer) < size:
-            if not await self._more():
-                return None
-        body, self._buffer = self._buffer[:size], self._buffer[size:]
-        return Message(start, headers, body)
-
-    async def _more(self) -> bool:
-        try:
-            data = await self.stream.receive_some(65536)
-        except trio.BrokenResourceError:
-            return False
-        self._buffer += data
-        return bool(data)
-
-    async def write(self, start: str, body: bytes = b"", **headers: str) -> None:
-        fields = {"Content-Length": str(len(body)), **{k.replace("_", "-"): v for k, v in headers.items()}}
-        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        await self.stream.send_all(f"{start}\r\n{head}\r\n".encode() + body)
-
-
 REPLIES: dict[str, tuple[str, dict[str, Any]]] = {
     "take": ("HTTP/1.1 202 Accepted", {}),
     "full": ("HTTP/1.1 503 No", {"Not_Started": "1"}),
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,7 +13,8 @@
 from burlmoor import messages as m
 from burlmoor.net.control import Call, ControlConnection, Result
 from burlmoor.net.serving import Service, Serving
-from tests.peers import Stage, Wire, play
+from burlmoor.rig.wire import Wire
+from tests.peers import Stage, play
 
 
 @pytest.mark.parametrize(
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -13,7 +13,8 @@
 import trio
 
 from burlmoor.net.serving import Serving
-from tests.peers import Message, Stage, play
+from burlmoor.rig.wire import Message
+from tests.peers import Stage, play
 from tests.test_config import written
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,8 @@
 
 import trio
 
-from tests.peers import Stage, Wire
+from burlmoor.rig.wire import Wire
+from tests.peers import Stage
 from tests.test_config import written
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -16,7 +16,8 @@
 import trio
 
 from burlmoor.net import peer as p
-from tests.peers import Message, Stage, Wire, play
+from burlmoor.rig.wire import Message, Wire
+from tests.peers import Stage, play
 from tests.test_config import written
 from tests.test_control import call, ready, serve
 from tests.test_program import ROOT, free_address
