Let jobs wait for other jobs or for a time, as a graph between the core and the module

Need: some bookings can only follow a survey, and some run only after a set time.

The core tells it of every job and asks what becomes of those it holds; the module hears of a released job with what it has waited and a bounded claim. On by [waiting] alone.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator, Mapping
+from typing import TYPE_CHECKING
 from urllib.parse import quote
 
 import trio
@@ -26,6 +27,10 @@
 from burlmoor.operators import Desk
 from burlmoor.succession import Succession
 
+if TYPE_CHECKING:
+    from burlmoor.options import Options
+    from burlmoor.waiting import WaitingService
+
 _SPARE_SOCKETS = 64  # descriptors for what is neither a client's nor a target's connection
 _FOR_DISCOVERY = 4
 _TARGETS_PART = 0.3  # of the rest: a forward holds a connection only until its 202
@@ -69,8 +74,22 @@
             self.core, self.front, self.pool, self.group, self.desk, link, shared, nursery, log
         )
         self.desk.restore()
+        self._waiting: WaitingService | None = None
+        self._switch(given.options)
         self.control = Control(self.desk, given.control, nursery, log) if given.control else None
 
+    def _switch(self, options: Options | None) -> None:
+        """Switch subsystems on or off as the operators' options say."""
+        waiting = options.waiting if options is not None else None
+        if waiting is not None and self._waiting is None:
+            # Imported only here: a node that has it off starts without it.
+            from burlmoor.waiting import WaitingService  # noqa: PLC0415
+
+            seed = self._given.seed + 2
+            self._waiting = WaitingService(self.core, self.front, self.desk, seed, self._log)
+        if self._waiting is not None:
+            self._waiting.take_up(waiting)
+
     def start(self) -> None:
         """Start all that runs for as long as the node does."""
         for task in (self.drive, self.front.sweep, self.sweep, self._begin):
@@ -129,6 +148,7 @@
         if self.group.version is None and new.known is not None:
             self.group.start_from(new.known)
         self.watch.move(new.discovery)
+        self._switch(new.options)
         # `known` is older than what discovery has told since; the rest is built in at the start.
         kept = ("name", "listen", "control", "seed", "sockets", "settings")
         later = [name for name in kept if getattr(new, name) != getattr(self._given, name)]
--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from burlmoor import learnt
 from burlmoor import messages as m
@@ -37,7 +37,63 @@
     """The job failed and may have run."""
 
 
-Answer = Served | FixedResponse | Failed
+@dataclass(frozen=True, slots=True)
+class Unmet:
+    """The job has not run and can't: another try that asks for the same is in vain."""
+
+    reason: str
+
+
+Answer = Served | FixedResponse | Failed | Unmet
+
+
+class BadCondition(ValueError):
+    """What a client asks its job to wait for cannot be meant; the text names the header."""
+
+
+class Conditions(NamedTuple):
+    """What a job is to wait for: jobs that are to be served first, and a Unix time in ms (0: none)."""
+
+    after: tuple[str, ...]
+    not_before: float
+    size: int  # bytes held meanwhile
+
+
+class Release(NamedTuple):
+    """A job that waited may run; `claim`, from 0 to 1, is what its waiting has earned."""
+
+    id: str
+    claim: float
+
+
+class Turned(NamedTuple):
+    """A job that waited is not to run."""
+
+    id: str
+    answer: Answer
+
+
+class Holder(Protocol):
+    """Who keeps jobs that wait: told of every job, it says in `step` what becomes of those it holds."""
+
+    @property
+    def longest(self) -> float:
+        """The most that a job may wait in all, in ms."""
+
+    def opened(self, ref: str) -> None:
+        """The node has taken a job."""
+
+    def ended(self, ref: str, served: bool, now: float) -> None:
+        """A job is over."""
+
+    def hold(self, ref: str, request: m.Request, conditions: Conditions, deadline: float, now: float) -> None:
+        """A job that was just opened is to wait, until its deadline at most."""
+
+    def due(self, now: float) -> float:
+        """When `step` is needed next."""
+
+    def step(self, now: float, room: Callable[[], float]) -> Iterable[Release | Turned]:
+        """What becomes of some jobs now; `room`: slots known to be free."""
 
 
 class Listener(Protocol):
@@ -76,6 +132,7 @@
     deadline: float
     once: bool
     over: bool = False
+    held: m.Request | None = None  # what is asked, while the job waits and the module does not know of it
     forwards: list[Forward] = field(default_factory=list)
 
     def out(self) -> list[Forward]:
@@ -133,6 +190,7 @@
         self._limits: list[tuple[float, int, Job | Forward]] = []  # deadlines of jobs and forwards
         self._order = 0
         self._stepped = -math.inf
+        self.holder: Holder | None = None  # where jobs may wait for others or for a time
         self.targets: Targets
         self.target_list: TargetList
 
@@ -168,13 +226,25 @@
                 self._limit(at, job)
         self._wake()
 
-    def take(self, listener: Listener, request_id: str, request: m.Request, payload: Any) -> Job | None:
-        """A request's last byte has come; None where its id is already in use."""
+    def take(
+        self,
+        listener: Listener,
+        request_id: str,
+        request: m.Request,
+        payload: Any,
+        conditions: Conditions | None = None,
+    ) -> Job | None:
+        """A request's last byte has come; None where its id is already in use.
+
+        With conditions, and where jobs may wait, the module hears of it once it may run.
+        """
         if request_id in self._ids or request_id in self.elsewhere:
             return None
         self._numbers += 1
         # Guards against a figure that holds a job, and a node that stops, far beyond what its class may wait.
-        patience = min(request.patience, self._longest.get(request.job_class, math.inf))
+        waits = conditions is not None and self.holder is not None
+        longest = self.holder.longest if waits and self.holder else self._may_take(request)
+        patience = min(request.patience, longest)
         now = self.clock()
         job = Job(
             id=request_id,
@@ -188,14 +258,37 @@
         )
         self._jobs[job.number] = self._ids[request_id] = job
         self._limit(job.deadline, job)
-        self._post(request._replace(id=job.number, patience=patience))
+        if self.holder is not None:
+            self.holder.opened(request_id)
+            if conditions is not None:
+                job.held = request
+                self.holder.hold(request_id, request, conditions, job.deadline, now)
+            self._wake()
+        if job.held is None:
+            self._post(request._replace(id=job.number, patience=patience))
         return job
 
+    def hold_with(self, holder: Holder) -> None:
+        """Jobs may wait there from now on; it is told of those that are open."""
+        self.holder = holder
+        for job in self._jobs.values():
+            if not job.over:
+                holder.opened(job.id)
+
+    def wake(self) -> None:
+        """What is due next may be due sooner than it was."""
+        self._wake()
+
+    def _may_take(self, request: m.Request) -> float:
+        """The longest that a request may be open with the module."""
+        return self._longest.get(request.job_class, math.inf)
+
     def gone(self, job: Job) -> None:
         """The client has left: nothing more is owed."""
         if not job.over:
-            job.over = True
-            self._post(m.Gone(job.number))
+            self._close(job, served=False)
+            if job.held is None:
+                self._post(m.Gone(job.number))
             self._forget(job)
 
     def find(self, request_id: str, target: str) -> Forward | None:
@@ -241,12 +334,16 @@
             return self._stepped + self.settings.tick
         limit = self._limits[0][0] if self._limits else math.inf
         timer = self._timers[0][0] if self._timers else math.inf
-        return max(min(limit, timer), self._stepped + self.settings.tick)
+        waiting = self.holder.due(self.clock()) if self.holder is not None else math.inf
+        return max(min(limit, timer, waiting), self._stepped + self.settings.tick)
 
     def step(self) -> None:
         """Hand the module what has happened and carry out what it decides."""
         now = self._stepped = self.clock()
         late = self._expire(now)
+        if self.holder is not None:
+            for verdict in self.holder.step(now, self._room):
+                self._obey(verdict, now)
         while self._timers and self._timers[0][0] <= now:
             self._events.append(m.Timer(heapq.heappop(self._timers)[1]))
         events, self._events = [self._aged(event, now) for event in self._events], []
@@ -268,9 +365,40 @@
             if not job.over:
                 self._say("answered-at-stop" if now >= self.answer_by else "answered-at-deadline", id=job.id)
                 self._answer(job, Failed() if job.may_have_run() else FixedResponse())
-                self._post(m.Gone(job.number))
+                if job.held is None:
+                    self._post(m.Gone(job.number))
                 self._forget(job)
 
+    def _obey(self, verdict: Release | Turned, now: float) -> None:
+        """Carry out what becomes of a job that waited."""
+        job = self._ids.get(verdict.id)
+        if job is None or job.over or job.held is None:
+            return
+        if isinstance(verdict, Turned):
+            self._answer(job, verdict.answer)
+            self._forget(job)
+            return
+        # Its class's time counts from here: what is left of its client's may be longer, or less. The module
+        # is told how much it would have had, lest a job released late looks like a late try.
+        request, job.held = job.held, None
+        longest = self._may_take(request)
+        patience = max(0.0, min(job.deadline - now, longest))
+        waited = max(0.0, min(request.patience, longest) - patience)
+        job.taken, job.deadline = now, min(now + patience, self.answer_by)
+        self._limit(job.deadline, job)
+        told = request._replace(id=job.number, patience=patience, waited=waited, claim=verdict.claim)
+        self._post(told)
+
+    def _room(self) -> float:
+        """Slots that the module knows to be free at warm executors, beyond what waits for some there."""
+        node, now = self._node, self.clock()
+        warm = (
+            worker.room
+            for worker in node.members.workers.values()
+            if worker.live and not worker.overdue and node.members.warmth(worker, now) >= 1.0
+        )
+        return sum(warm) - node.held - sum(job.slots for job in node.waiting.values())
+
     def _aged(self, event: m.Event, now: float) -> m.Event:
         """What is left of a request's patience when the module hears of it.
 
@@ -358,9 +486,16 @@
                 self.targets.abandon(forward)
 
     def _answer(self, job: Job, answer: Answer) -> None:
-        job.over = True
+        self._close(job, served=isinstance(answer, Served))
         job.listener.answer(answer)
 
+    def _close(self, job: Job, served: bool) -> None:
+        job.over = True
+        if self.holder is not None:
+            # Guards the loop against a chain that ends link by link: nobody is answered from in here.
+            self.holder.ended(job.id, served, self.clock())
+            self._wake()
+
     # --- bookkeeping ----------------------------------------------------------------------------
 
     def _post(self, event: m.Event) -> None:
--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -21,6 +21,7 @@
 
 # Weights of priority, P = ALPHA * Tmin/T + BETA * N/Nmax + DELTA * Pgroup, and what a round's wait adds.
 ALPHA, BETA, DELTA, AGING = 1.0, 1.0, 8.0, 0.05
+CLAIM = 1.0  # the most that having waited for leave to run adds: as much as haste, far less than worth
 ROUND_TICKS = 3.0  # a round gathers jobs for about this many ticks, jittered by half
 WIDE, SAVED = 2.5, 0.25  # for jobs of more slots an executor is kept free, of this share of all at most
 MISSES = 4  # a round ends after this many jobs in a row found no place
@@ -450,12 +451,13 @@
         work = event.work
         if not 0.0 < work < math.inf:
             work = max(1.0, self.class_work[job_class.name].read(now, SKILL_HALF, 0.5 * job_class.aim))
-        full = self.full_patience[job_class.name] = max(event.patience, self.full_patience[job_class.name])
+        given = event.patience + event.waited  # waiting for leave to run is no time spent on earlier tries
+        full = self.full_patience[job_class.name] = max(given, self.full_patience[job_class.name])
         job = Job(event, job_class, work)
         job.deadline_at = now + event.patience
         # What the client has spent on earlier tries is gone from the aim too. Who waits for less than the
         # aim itself is in a hurry rather than on a late try: all that it gives is there to be used.
-        spent = full - event.patience if event.patience >= job.aim else 0.0
+        spent = full - given if event.patience >= job.aim else 0.0
         job.aim_at = min(job.deadline_at, now + job.aim - spent)
         job.useful_until = job.deadline_at if job_class.late_worth > 0.0 else job.aim_at
         self.jobs[job.id] = job
@@ -467,7 +469,7 @@
         standing = job.worth / work * (within + (1.0 - within) * self.settings.over_share_worth)
         self.top_worth = max(self.top_worth, standing)
         haste = min(1.0, self.shortest_aim / max(job.aim, 1.0))
-        job.standing = ALPHA * haste + BETA * within + DELTA * standing / self.top_worth
+        job.standing = ALPHA * haste + BETA * within + DELTA * standing / self.top_worth + CLAIM * event.claim
         job.check_at = job.deadline_at - self.settings.tick
         self._schedule(job.check_at, job)
         self._wait(job, now, ROUND_TICKS)
--- a/burlmoor/messages.py
+++ b/burlmoor/messages.py
@@ -198,6 +198,8 @@
     tenant: str = ""
     key: str = ""
     retry: bool = False
+    waited: float = 0.0  # how much of what its client allows has gone in waiting for leave to run
+    claim: float = 0.0  # from 0 to 1: what that waiting has earned
 
 
 class Started(NamedTuple):
--- a/burlmoor/net/control.py
+++ b/burlmoor/net/control.py
@@ -22,6 +22,7 @@
     "/executors/enable": b"POST",
     "/drain": b"POST",
     "/undrain": b"POST",
+    "/waiting": b"GET",
 }
 NAMED = frozenset(("/executors/disable", "/executors/enable"))
 
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -4,13 +4,20 @@
 
 import math
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 
 from burlmoor import core as c
 from burlmoor.net import callbacks
-from burlmoor.net.listener import CallBack, JobAsked, ListenerConnection, ReadyAsked, Rejected
+from burlmoor.net.listener import (
+    CallBack,
+    JobAsked,
+    ListenerConnection,
+    ReadConditions,
+    ReadyAsked,
+    Rejected,
+)
 from burlmoor.net.serving import Service, Serving
 from burlmoor.net.stream import Stream, accept
 
@@ -36,7 +43,7 @@
     def __init__(self, front: Front, sock: socket.socket, used: bool = False, age: float = 0.0) -> None:
         self._front = front
         self._stream = Stream(sock, _RING_IN, _RING_OUT)
-        self._http = ListenerConnection(front.classes)
+        self._http = ListenerConnection(front.classes, front.read_conditions)
         self._job: c.Job | None = None
         self._scope = trio.CancelScope()
         self._advancing = False
@@ -206,7 +213,7 @@
                     self._respond(503, b"", [("Retry-After", _BACK_IN)])
                     return
                 core = self._front.core
-                self._job = core.take(self, asked.request_id, asked.request, asked.payload)
+                self._job = core.take(self, asked.request_id, asked.request, asked.payload, asked.conditions)
                 if self._job is None:
                     self._http.closing = True
                     self._respond(400, b"Request-Id is in use\n")
@@ -259,6 +266,8 @@
                 self._respond(503, b"", advice)
             case c.Failed():
                 self._respond(502, b"the job failed and may have run\n")
+            case c.Unmet(reason):
+                self._respond(424, reason.encode() + b"\n")
         self.advance()
 
     def _respond(self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None) -> None:
@@ -312,6 +321,8 @@
         self.pass_on: Callable[[socket.socket, bool, float], None] | None = None
         self.opened: Callable[[str], None] | None = None
         self.call_back_elsewhere: Callable[[bytes], Awaitable[bool]] | None = None
+        self.conditions: ReadConditions | None = None  # set while jobs may wait
+        self.shut_waiting: Callable[[bool], None] | None = None  # told whether clients are sent away
         self._ended = trio.Event()
         self.waiting = 0  # clients that wait for an answer
         self._sock = sock
@@ -365,6 +376,12 @@
             self.links.discard(link)
             self._ended.set()
 
+    def read_conditions(
+        self, headers: Sequence[tuple[bytes, bytes]], request_id: str, size: int
+    ) -> c.Conditions | None:
+        """What a request's headers ask its job to wait for; nothing where jobs may not wait."""
+        return None if self.conditions is None else self.conditions(headers, request_id, size)
+
     def room(self) -> bool:
         """Whether one more job may be taken.
 
@@ -395,7 +412,10 @@
         while True:
             await trio.sleep(_SWEEP)
             now = trio.current_time()
-            if self.service.state >= Serving.CLOSING:
+            closing = self.service.state >= Serving.CLOSING
+            if self.shut_waiting is not None:
+                self.shut_waiting(closing)
+            if closing:
                 self.end_idle()
             for link in [link for link in self.links if now > link.since + link.limit]:
                 link.end()
--- a/burlmoor/net/listener.py
+++ b/burlmoor/net/listener.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import h11
 
 from burlmoor import messages as m
+from burlmoor.core import BadCondition, Conditions
 
 BODY_LIMIT = 64 * 1024
 READY_PATH = "/health/ready"
@@ -43,6 +44,7 @@
     request_id: str
     request: m.Request
     payload: Payload
+    conditions: Conditions | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,8 @@
 
 
 Asked = JobAsked | CallBack | ReadyAsked | Rejected
+# What a request's headers ask its job to wait for, given its id and the bytes of its body.
+ReadConditions = Callable[[Sequence[tuple[bytes, bytes]], str, int], Conditions | None]
 
 
 class _BadHeader(Exception):
@@ -75,8 +79,9 @@
 class ListenerConnection:
     """Owns the HTTP state of one accepted connection. One request at a time; the rest waits unread."""
 
-    def __init__(self, classes: Iterable[str]) -> None:
+    def __init__(self, classes: Iterable[str], conditions: ReadConditions | None = None) -> None:
         self._classes = frozenset(classes)
+        self._conditions = conditions
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=16384)
         self._head: h11.Request | None = None
         self._body = bytearray()
@@ -170,7 +175,7 @@
             return Rejected(405, "POST only")
         try:
             return self._job(head, parts)
-        except _BadHeader as error:
+        except (_BadHeader, BadCondition) as error:
             return Rejected(400, str(error))
 
     def _job(self, head: h11.Request, parts: list[str]) -> JobAsked:
@@ -200,7 +205,10 @@
             key=parts[-1] if len(parts) > 2 else "",
             retry=given.get(b"client-retry", "") == "1",
         )
-        return JobAsked(request_id, request, Payload(head.method, head.target, bytes(self._body)))
+        payload = Payload(head.method, head.target, bytes(self._body))
+        read = self._conditions
+        conditions = read(head.headers, request_id, len(payload.body)) if read is not None else None
+        return JobAsked(request_id, request, payload, conditions)
 
     def answer(self, status: int, body: bytes = b"", headers: Iterable[tuple[str, str]] = ()) -> bytes:
         """The bytes of the answer to what was asked; afterwards the next request may come."""
--- a/burlmoor/operators.py
+++ b/burlmoor/operators.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -14,6 +15,8 @@
 from burlmoor.net.serving import Service, Serving
 from burlmoor.net.target_group import ByHand, TargetGroup
 
+SHOWN = frozenset(("/waiting",))  # calls that only show what a subsystem does
+
 
 class ByHandSet(msgspec.Struct):
     """All that is set by hand."""
@@ -29,6 +32,7 @@
         self._group, self._service, self._path, self._say = group, service, path, say
         self.serving = False  # whether this process accepts clients
         self._inherited = False  # whether the drain was there when this process took over
+        self.shown: dict[str, Callable[[], Awaitable[dict[str, Any]]]] = {}  # by subsystems that are on
         # What tells the other process of the node, if there is one, of a call that was carried out here.
         self.elsewhere: Callable[[Call], Awaitable[None]] | None = None
 
@@ -39,6 +43,9 @@
             inherited = self._inherited and not self._service.stopping
             ready = self.serving and (self._service.state is Serving.OPEN or inherited)
             return Result(200 if ready else 503, self._shown(ready))
+        if call.path in SHOWN:
+            show = self.shown.get(call.path)
+            return Result(200, await show()) if show else Result(404, {"error": "this is off here"})
         if call.path in NAMED and not self._group.knows(call.name):
             return Result(404, {"error": "no executor has this name"})
         self.apply(call)
--- /dev/null
+++ b/burlmoor/waiting/conditions.py
@@ -0,0 +1,56 @@
+"""What a client asks its job to wait for, read from two headers. No I/O, no clock.
+
+`Run-After: ID[, ID...]` may stand on several lines, as any list (RFC 9110, section 5.6.1: empty elements are
+ignored); `Not-Before: T` is Unix time in ms, once.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+
+from burlmoor.core import BadCondition, Conditions
+
+RUN_AFTER, NOT_BEFORE = b"run-after", b"not-before"
+_ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
+_TIME = re.compile(r"[0-9]{1,15}")
+
+
+class Reader:
+    """Owns the limits on what may be asked."""
+
+    def __init__(self, names: int) -> None:
+        self.names = names
+
+    def __call__(
+        self, headers: Sequence[tuple[bytes, bytes]], request_id: str, size: int
+    ) -> Conditions | None:
+        """The conditions of one request, `size` bytes of body with it; None where it has none."""
+        lists = [value for name, value in headers if name == RUN_AFTER]
+        times = [value for name, value in headers if name == NOT_BEFORE]
+        if not lists and not times:
+            return None
+        after = self._names(b",".join(lists).decode("latin-1"), request_id) if lists else ()
+        return Conditions(after, self._time(times), size)
+
+    def _names(self, text: str, request_id: str) -> tuple[str, ...]:
+        # A name that is repeated counts once.
+        names = tuple(dict.fromkeys(name for each in text.split(",") if (name := each.strip(" \t"))))
+        if not names:
+            raise BadCondition("Run-After names no job")
+        for name in names:
+            if not _ID.fullmatch(name):
+                raise BadCondition("Run-After is not a list of ids")
+        if request_id in names:
+            raise BadCondition("Run-After names the job itself")
+        if len(names) > self.names:
+            raise BadCondition(f"Run-After names over {self.names} jobs")
+        return names
+
+    def _time(self, times: Sequence[bytes]) -> float:
+        if len(times) > 1:
+            raise BadCondition("Not-Before is given twice")
+        text = times[0].decode("latin-1") if times else "0"
+        if not _TIME.fullmatch(text):
+            raise BadCondition("Not-Before is not a Unix time in ms")
+        return float(text)
--- /dev/null
+++ b/tests/waiting/test_graph.py
@@ -0,0 +1,268 @@
+"""The graph of what waits: held against a naive model on random graphs, and its bounds one by one."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burlmoor.waiting.agenda import Agenda
+from burlmoor.waiting.graph import Bounds, Graph, Reason, Waiter
+
+BOUNDS = Bounds(jobs=10_000, fan_out=1000, unknown=2000.0, remember=1e9, remembered=10**6)
+UNIX = 1_700_000_000_000.0
+
+
+def drained(graph: Graph, now: float, unix: float | None = None) -> list[tuple[str, Reason | None]]:
+    """Carry out all that is to be done: what is free is let go, what ends is told as ended."""
+    done = []
+    while (waiter := graph.next(now, UNIX + now if unix is None else unix)) is not None:
+        done.append((waiter.id, waiter.ending))
+        if waiter.ending is None:
+            graph.remove(waiter.id)
+        else:
+            graph.ended(waiter.id, False, now)
+    return done
+
+
+def wait(
+    graph: Graph, ref: str, *after: str, at: float = 0.0, latest: float = 1e6, now: float = 0.0
+) -> Waiter:
+    graph.opened(ref)
+    return graph.add(ref, after, at, latest, now, UNIX + now)
+
+
+@dataclass
+class Naive:
+    """The same rules, worked out anew from all that has happened."""
+
+    state: dict[str, str] = field(default_factory=dict)  # open, waiting, served, dead
+    asked: dict[str, tuple[tuple[str, ...], float, float, float]] = field(default_factory=dict)
+
+    def settle(self, now: float, unix: float) -> None:
+        while True:
+            before = dict(self.state)
+            for ref in [ref for ref, state in self.state.items() if state == "waiting"]:
+                after, at, latest, since = self.asked[ref]
+                strangers = any(name not in self.state for name in after)
+                dead = any(self.state.get(name) == "dead" for name in after)
+                if dead or now >= latest or (strangers and now >= since + BOUNDS.unknown):
+                    self.state[ref] = "dead"
+                elif all(self.state.get(name) == "served" for name in after) and unix >= at:
+                    self.state[ref] = "open"
+            if before == self.state:
+                return
+
+    def cycle(self, ref: str, after: tuple[str, ...]) -> bool:
+        seen, look = set(), list(after)
+        while look:
+            name = look.pop()
+            if name == ref:
+                return True
+            if name not in seen and self.state.get(name) == "waiting":
+                seen.add(name)
+                look += [each for each in self.asked[name][0] if self.state.get(each) != "served"]
+        return False
+
+
+_IDS = st.integers(0, 11).map(str)
+_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("plain"), _IDS),
+        st.tuples(
+            st.just("wait"), _IDS, st.lists(_IDS, min_size=1, max_size=4, unique=True).map(tuple),
+            st.sampled_from([0.0, 0.0, 500.0, 1500.0]), st.sampled_from([300.0, 2500.0, 9000.0]),
+        ),
+        st.tuples(st.just("end"), _IDS, st.booleans()),
+        st.tuples(st.just("leave"), _IDS),
+        st.tuples(st.just("pass"), st.sampled_from([1.0, 200.0, 999.0, 2000.0])),
+    ),
+    max_size=60,
+)  # fmt: skip
+
+
+@settings(max_examples=400)
+@given(_STEPS)
+def test_it_does_what_a_naive_model_does(steps: list[tuple]) -> None:  # type: ignore[type-arg]
+    graph, naive, now = Graph(BOUNDS), Naive(), 0.0
+    for step in steps:
+        match step:
+            case ("plain", ref) if ref not in naive.state:
+                graph.opened(ref)
+                naive.state[ref] = "open"
+            case ("wait", ref, after, at, patience) if ref not in naive.state and ref not in after:
+                not_before = UNIX + now + at if at else 0.0
+                naive.asked[ref] = (after, not_before, now + patience, now)
+                hopeless = now + at > now + patience
+                doomed = hopeless or naive.cycle(ref, after)
+                naive.state[ref] = "dead" if doomed else "waiting"
+                wait(graph, ref, *after, at=not_before, latest=now + patience, now=now)
+            case ("end", ref, served) if naive.state.get(ref) == "open":
+                graph.ended(ref, served, now)
+                naive.state[ref] = "served" if served else "dead"
+            case ("leave", ref) if naive.state.get(ref) in ("open", "waiting"):
+                graph.ended(ref, False, now)
+                naive.state[ref] = "dead"
+            case ("pass", time):
+                now += time
+        drained(graph, now)
+        naive.settle(now, UNIX + now)
+        assert set(graph.waiters) == {ref for ref, state in naive.state.items() if state == "waiting"}
+        assert graph._open == {ref for ref, state in naive.state.items() if state in ("open", "waiting")}
+        assert {ref: each[1] for ref, each in graph._ended.items()} == {
+            ref: state == "served" for ref, state in naive.state.items() if state in ("served", "dead")
+        }
+        assert graph.due(now, UNIX + now) > now
+        # Nothing is kept of what is over.
+        unmet = {(name, ref) for ref, waiter in graph.waiters.items() for name in waiter.unmet}
+        assert {(name, ref) for name, held in graph._children.items() for ref in held} == unmet
+
+
+def test_a_chain_of_ten_thousand_ends_link_by_link_without_recursion() -> None:
+    graph = Graph(BOUNDS)
+    graph.opened("0")
+    for number in range(1, 10_000):
+        wait(graph, str(number), str(number - 1))
+    graph.ended("0", False, 1.0)
+    done = drained(graph, 1.0)
+    assert [ref for ref, _ in done] == [str(number) for number in range(1, 10_000)]
+    assert {reason for _, reason in done} == {Reason.PARENT}
+    assert not graph.waiters and not graph._children
+
+
+def test_a_cycle_that_closes_with_the_last_arrival_ends_all_of_it() -> None:
+    graph = Graph(BOUNDS)
+    for number in range(1000):
+        wait(graph, str(number), str(number + 1))
+    done = dict(drained(graph, 0.0))
+    assert done == {}
+    wait(graph, "1000", "0")
+    done = dict(drained(graph, 0.0))
+    assert done["1000"] is Reason.CYCLE
+    assert len(done) == 1001
+
+
+def test_a_job_that_names_itself_is_a_cycle_of_one() -> None:
+    graph = Graph(BOUNDS)
+    wait(graph, "a", "a")
+    assert drained(graph, 0.0) == [("a", Reason.CYCLE)]
+
+
+def test_a_diamond_waits_for_both_sides() -> None:
+    graph = Graph(BOUNDS)
+    graph.opened("top")
+    wait(graph, "left", "top")
+    wait(graph, "right", "top")
+    wait(graph, "bottom", "left", "right")
+    graph.ended("top", True, 1.0)
+    assert drained(graph, 1.0) == [("left", None), ("right", None)]
+    graph.ended("left", True, 2.0)
+    assert drained(graph, 2.0) == []
+    graph.ended("right", True, 3.0)
+    assert drained(graph, 3.0) == [("bottom", None)]
+
+
+def test_a_name_not_heard_of_may_come_a_moment_later_and_else_ends_the_wait() -> None:
+    graph = Graph(BOUNDS)
+    wait(graph, "early", "parent")
+    wait(graph, "lost", "nobody")
+    assert graph.waiters["early"].reason.value == "unknown"
+    graph.opened("parent")
+    assert graph.waiters["early"].reason.value == "jobs"
+    assert graph.due(1.0, UNIX) == 2000.0
+    assert drained(graph, 2000.0) == [("lost", Reason.UNKNOWN)]
+    graph.ended("parent", True, 2100.0)
+    assert drained(graph, 2100.0) == [("early", None)]
+
+
+@pytest.mark.parametrize(("served", "reason"), [(True, None), (False, Reason.PARENT)])
+def test_a_job_that_is_long_over_is_remembered_for_a_while(served: bool, reason: Reason | None) -> None:
+    graph = Graph(Bounds(10, 10, 2000.0, remember=5000.0, remembered=2))
+    graph.opened("parent")
+    graph.ended("parent", served, 0.0)
+    wait(graph, "soon", "parent", now=4000.0)
+    assert drained(graph, 4000.0) == [("soon", reason)]
+    wait(graph, "late", "parent", now=5001.0)
+    assert drained(graph, 5001.0) == []  # forgotten: waits as for one that was never heard of
+    assert drained(graph, 7001.0) == [("late", Reason.UNKNOWN)]
+
+
+def test_the_memory_of_ended_jobs_is_bounded_in_count() -> None:
+    graph = Graph(Bounds(10, 10, 2000.0, remember=1e9, remembered=100))
+    for number in range(1000):
+        graph.opened(str(number))
+        graph.ended(str(number), True, float(number))
+    assert graph.remembered == 100
+
+
+@pytest.mark.parametrize("bounds", [Bounds(2, 10, 1e3, 1e3, 10), Bounds(10, 2, 1e3, 1e3, 10)])
+def test_beyond_a_cap_a_job_ends_and_the_others_wait_on(bounds: Bounds) -> None:
+    graph = Graph(bounds)
+    graph.opened("parent")
+    for ref in "abc":
+        wait(graph, ref, "parent")
+    assert drained(graph, 0.0) == [("c", Reason.FULL)]
+    graph.ended("a", False, 1.0)
+    wait(graph, "d", "parent", now=1.0)
+    assert drained(graph, 1.0) == []
+
+
+def test_times_far_past_and_far_off() -> None:
+    graph = Graph(BOUNDS)
+    wait(graph, "past", at=5.0)
+    wait(graph, "ten years", at=UNIX + 3.2e11)
+    assert drained(graph, 0.0) == [("past", None), ("ten years", Reason.HOPELESS)]
+
+
+def test_a_clock_that_steps_is_followed_and_the_latest_time_is_not() -> None:
+    graph = Graph(BOUNDS)
+    wait(graph, "a", at=UNIX + 5000.0, latest=60_000.0)
+    wait(graph, "b", at=UNIX + 5000.0, latest=8000.0)
+    assert graph.due(0.0, UNIX) == 5000.0
+    # Set back by an hour: its time has not come, and its client's runs out all the same.
+    assert drained(graph, 5000.0, UNIX - 3_600_000.0) == []
+    assert drained(graph, 8000.0, UNIX - 3_597_000.0) == [("b", Reason.HOPELESS)]
+    # Set right again, and beyond: it is free at once.
+    assert graph.due(9000.0, UNIX + 9000.0) == 9000.0
+    assert drained(graph, 9000.0, UNIX + 9000.0) == [("a", None)]
+
+
+def test_what_leaves_early_leaves_nothing_behind() -> None:
+    graph = Graph(BOUNDS)
+    for number in range(5000):
+        wait(graph, str(number), "nobody", at=UNIX + 9000.0)
+        graph.ended(str(number), False, 0.0)
+    assert not graph._children and not graph.waiters
+    assert len(graph._latest._heap) < 200
+    assert graph.due(0.0, UNIX) == math.inf
+
+
+def test_closing_ends_all_that_waits() -> None:
+    graph = Graph(BOUNDS)
+    graph.opened("parent")
+    wait(graph, "a", "parent")
+    wait(graph, "b", "a")
+    graph.close()
+    assert drained(graph, 0.0) == [("a", Reason.CLOSED), ("b", Reason.CLOSED)]
+
+
+@given(st.lists(st.tuples(st.integers(0, 50), st.booleans()), max_size=200))
+def test_an_agenda_hands_out_what_is_in_it_in_order(entries: list[tuple[int, bool]]) -> None:
+    agenda: Agenda[int] = Agenda()
+    kept = []
+    for number, (at, out) in enumerate(entries):
+        ticket = agenda.put(float(at), number)
+        if out:
+            agenda.out(ticket)
+            agenda.out(ticket)
+        else:
+            kept.append((at, number))
+    assert len(agenda) == len(kept)
+    assert agenda.first() == min((float(at) for at, _ in kept), default=math.inf)
+    handed = []
+    while (thing := agenda.pop(25.0)) is not None:
+        handed.append(thing)
+    assert handed == [number for at, number in sorted(kept) if at <= 25]
