Drill jobs that wait with real nodes, and pace what is released by how it fares

Need: the claims on waiting jobs must be held against what clients and executors saw, under pressure and failures.

Released jobs go by known room, else by a token rate that falls with refusals.

--- /dev/null
+++ b/benchmarks/waiting.py
@@ -0,0 +1,102 @@
+"""What a waiting job costs while many others wait: CPU of one whole wait, memory of each, and the view.
+
+    python -m benchmarks.waiting
+
+One wait is: taken, held for a parent and a time, its parent served, released. Beside it `n` others wait, a
+third each for a parent, for a time and for a chain's link. Times are of this process's CPU, the best of three
+rounds.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import math
+import time
+import tracemalloc
+
+import trio
+
+from burlmoor import messages as m
+from burlmoor.core import Conditions, Release, Served
+from burlmoor.options import Waiting
+from burlmoor.waiting import Ward
+from burlmoor.waiting.view import show
+
+SIZES = (10, 1_000, 10_000, 100_000)
+_ROUND = 2000
+_REQUEST = m.Request(0, "slot-search", 60_000.0, 100.0)
+_UNIX = 1_700_000_000_000.0
+
+
+def filled(count: int) -> tuple[Ward, float]:
+    """A ward where `count` jobs wait, and its clock's time."""
+    given = Waiting(jobs=10_000_000, fan_out=10_000_000, release_rate=10_000_000, release_burst=1_000_000)
+    now = [0.0]
+    ward = Ward(given, 1 << 30, 1000.0, 1, lambda *_a, **_k: None, 0.0, lambda: _UNIX + now[0])
+    ward.opened("root")
+    for number in range(count):
+        ref = f"other-{number}"
+        after = (("root",), (), (f"other-{number - 2}",))[number % 3] if number > 3 else ("root",)
+        at = 0.0 if after else _UNIX + 1e9
+        ward.opened(ref)
+        ward.hold(ref, _REQUEST, Conditions(after, at, 200), 1e12, 0.0)
+        if number % 100 == 0:
+            ward.step(0.0, lambda: math.inf)
+    while ward.due(0.0) <= 0.0:
+        ward.step(0.0, lambda: math.inf)
+    return ward, 0.0
+
+
+def one_wait(ward: Ward, number: int, now: float) -> None:
+    """A parent and its child, from the child's arrival to its release and end."""
+    parent, child = f"p{number}", f"c{number}"
+    ward.opened(parent)
+    ward.opened(child)
+    ward.hold(child, _REQUEST, Conditions((parent,), _UNIX - 5.0, 200), now + 60_000.0, now)
+    ward.step(now, lambda: math.inf)
+    ward.ended(parent, Served(b""), now)
+    verdicts = ward.step(now, lambda: math.inf)
+    assert [type(each) for each in verdicts] == [Release], verdicts
+    ward.ended(child, Served(b""), now)
+
+
+def measure(count: int) -> dict[str, float]:
+    """The figures with `count` jobs waiting."""
+    gc.collect()
+    tracemalloc.start()
+    ward, now = filled(count)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    best, number = math.inf, 0
+    for _ in range(3):
+        began = time.process_time()
+        for _ in range(_ROUND):
+            number += 1
+            one_wait(ward, number, now)
+        best = min(best, (time.process_time() - began) / _ROUND)
+    began = time.perf_counter()
+    seen = trio.run(show, ward, lambda: now)
+    shown = time.perf_counter() - began
+    assert seen["waiting"] == count
+    return {
+        "waiting": count,
+        "us_a_wait": round(best * 1e6, 2),
+        "bytes_a_waiting_job": round(held / count),
+        "view_ms": round(shown * 1e3, 2),
+    }
+
+
+def main() -> None:
+    """Print a line of JSON a size."""
+    rows = [measure(count) for count in SIZES]
+    for row in rows:
+        print(json.dumps(row))
+    first, last = rows[0], rows[-1]
+    grown = last["us_a_wait"] / first["us_a_wait"]
+    allowed = math.log2(last["waiting"]) / math.log2(first["waiting"])
+    print(json.dumps({"grown": round(grown, 2), "log_n_would_allow": round(allowed, 2)}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/burlmoor/cli/drill.py
@@ -0,0 +1,55 @@
+"""`burlmoor drill NAME`."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import IO
+
+import click
+import trio
+from rich.console import Console
+from rich.table import Table
+
+from burlmoor.rig.drill import Drill, Verdict
+from burlmoor.rig.drill_waiting import WAITING
+
+DRILLS: dict[str, Drill] = {"waiting": WAITING}
+
+
+def _told(verdict: Verdict) -> None:
+    table = Table(
+        title=f"drill {verdict.drill}, seed {verdict.seed}: {'held' if verdict.held else 'NOT HELD'}"
+    )
+    for head in ("claim", "value", "bound", ""):
+        table.add_column(head, justify="left" if head == "claim" else "right")
+    for name, claim in verdict.claims.items():
+        bound = f"{'≥' if claim.least else '≤'} {claim.bound:g}"
+        table.add_row(name, f"{claim.value:.4g}", bound, "held" if claim.held else "NOT HELD")
+    for name, value in verdict.figures.items():
+        table.add_row(name, f"{value:.4g}", "", "", style="dim")
+    Console(stderr=True).print(table)
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(DRILLS)))
+@click.option(
+    "--seconds", default=60.0, show_default=True, type=click.FloatRange(10.0, 3600.0), help="How long."
+)
+@click.option("--seed", default=1, show_default=True, help="Of all that is drawn.")
+@click.option("--sabotage", help="A fault of the node, with which the drill must fail.")
+@click.option("--json", "sink", type=click.File("w"), help="Write the verdict there; - is standard output.")
+def drill(name: str, seconds: float, seed: int, sabotage: str | None, sink: IO[str] | None) -> None:
+    """A subsystem under its failures on loopback, and the verdict: status 1 where a claim did not hold."""
+    chosen = DRILLS[name]
+    if sabotage is not None and sabotage not in chosen.sabotages:
+        known = ", ".join(chosen.sabotages)
+        raise click.BadParameter(f"{sabotage!r} is none of: {known}", param_hint="--sabotage")
+    with tempfile.TemporaryDirectory(prefix="burlmoor-") as folder:
+        verdict = trio.run(chosen.run, seconds, seed, sabotage, Path(folder))
+    _told(verdict)
+    if sink is not None:
+        sink.write(json.dumps(verdict.written(), indent=2) + "\n")
+    sys.exit(0 if verdict.held else 1)
--- a/burlmoor/cli/load.py
+++ b/burlmoor/cli/load.py
@@ -20,6 +20,7 @@
 
 from burlmoor.net.stream import address
 from burlmoor.rig.clients import Clients
+from burlmoor.rig.discovery import Discovery
 from burlmoor.rig.ledger import Ledger
 from burlmoor.rig.load import Generator, Meter, Report, draw
 from burlmoor.rig.machine import Spec
@@ -27,6 +28,7 @@
 from burlmoor.rig.town import KINDS, Kind, fleet, settings, town
 
 _ERR = Console(stderr=True)
+_SHARDS = 4  # processes of stand-in executors: each bears some 300 jobs a second
 
 
 def written(report: Report, title: str) -> Table:
@@ -103,31 +105,48 @@
         sys.exit(1)
 
 
-@asynccontextmanager
-async def own_node(executors: dict[str, Spec], kinds: tuple[Kind, ...], folder: Path) -> AsyncIterator[Node]:
-    """One node, and a fleet in a process of its own."""
-    node = Node("n0", folder)
+async def _shard(executors: dict[str, Spec], relay: tuple[str, int]) -> tuple[trio.Process, dict[str, str]]:
+    """Executors in a process of their own, and where each listens."""
     process = await trio.lowlevel.open_process(
         [sys.executable, "-m", "burlmoor.rig"], stdin=subprocess.PIPE, stdout=subprocess.PIPE
     )
+    assert process.stdin is not None and process.stdout is not None
+    await process.stdin.send_all(msgspec.json.encode({"executors": executors, "relay": relay}) + b"\n")
+    line = b""
+    while not line.endswith(b"\n"):
+        more = await process.stdout.receive_some(65536)
+        if not more:
+            raise RuntimeError("the stand-in executors have ended")
+        line += more
+    return process, json.loads(line)
+
+
+@asynccontextmanager
+async def own_node(executors: dict[str, Spec], kinds: tuple[Kind, ...], folder: Path) -> AsyncIterator[Node]:
+    """One node, and executors in a few processes of their own, so that they bear more than the node."""
+    node, names = Node("n0", folder), list(executors)
+    processes: list[trio.Process] = []
     try:
         async with trio.open_nursery() as nursery:
-            assert process.stdin is not None and process.stdout is not None
-            plan = {"executors": executors, "relay": node.listen}
-            await process.stdin.send_all(msgspec.json.encode(plan) + b"\n")
-            line = b""
-            while not line.endswith(b"\n"):
-                line += await process.stdout.receive_some(65536)
-            at = json.loads(line)
-            await node.start(nursery, settings(kinds), at["discovery"], at["known"])
+            dials: dict[str, str] = {}
+            for part in range(min(_SHARDS, len(names))):
+                process, at = await _shard({n: executors[n] for n in names[part::_SHARDS]}, node.listen)
+                processes.append(process)
+                dials |= at
+            discovery = Discovery(nursery)
+            address = await discovery.listen("n0", dials)
+            for name in names:
+                discovery.tell(name)
+            await node.start(nursery, settings(kinds), address, discovery.whole("n0"))
             yield node
             await node.stop()
             nursery.cancel_scope.cancel()
     finally:
         with trio.CancelScope(shield=True):
             await node.kill()
-            process.kill()
-            await process.wait()
+            for process in processes:
+                process.kill()
+                await process.wait()
 
 
 async def _loaded(to: tuple[str, int], pid: int | None, rate: float, seconds: float, seed: int,
--- a/burlmoor/cli/main.py
+++ b/burlmoor/cli/main.py
@@ -17,6 +17,7 @@
     "run": "burlmoor.cli.node:run",
     "check": "burlmoor.cli.node:check",
     "load": "burlmoor.cli.load:load",
+    "drill": "burlmoor.cli.drill:drill",
 }
 
 
--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -17,6 +17,8 @@
 from burlmoor import messages as m
 from burlmoor.decide import Dispatcher
 
+_RELEASED_ROOM = 0.8  # of the room at executors: a herd of released jobs leaves the rest to those who come
+
 
 @dataclass(frozen=True, slots=True)
 class Served:
@@ -83,8 +85,8 @@
     def opened(self, ref: str) -> None:
         """The node has taken a job."""
 
-    def ended(self, ref: str, served: bool, now: float) -> None:
-        """A job is over."""
+    def ended(self, ref: str, answer: Answer | None, now: float) -> None:
+        """A job is over, with its answer; None where its client has left."""
 
     def hold(self, ref: str, request: m.Request, conditions: Conditions, deadline: float, now: float) -> None:
         """A job that was just opened is to wait, until its deadline at most."""
@@ -286,7 +288,7 @@
     def gone(self, job: Job) -> None:
         """The client has left: nothing more is owed."""
         if not job.over:
-            self._close(job, served=False)
+            self._close(job, None)
             if job.held is None:
                 self._post(m.Gone(job.number))
             self._forget(job)
@@ -390,14 +392,14 @@
         self._post(told)
 
     def _room(self) -> float:
-        """Slots that the module knows to be free at warm executors, beyond what waits for some there."""
+        """Slots known to be free at warm executors, beyond what waits for some and a part kept free."""
         node, now = self._node, self.clock()
         warm = (
             worker.room
             for worker in node.members.workers.values()
             if worker.live and not worker.overdue and node.members.warmth(worker, now) >= 1.0
         )
-        return sum(warm) - node.held - sum(job.slots for job in node.waiting.values())
+        return _RELEASED_ROOM * sum(warm) - node.held - sum(job.slots for job in node.waiting.values())
 
     def _aged(self, event: m.Event, now: float) -> m.Event:
         """What is left of a request's patience when the module hears of it.
@@ -486,14 +488,14 @@
                 self.targets.abandon(forward)
 
     def _answer(self, job: Job, answer: Answer) -> None:
-        self._close(job, served=isinstance(answer, Served))
+        self._close(job, answer)
         job.listener.answer(answer)
 
-    def _close(self, job: Job, served: bool) -> None:
+    def _close(self, job: Job, answer: Answer | None) -> None:
         job.over = True
         if self.holder is not None:
             # Guards the loop against a chain that ends link by link: nobody is answered from in here.
-            self.holder.ended(job.id, served, self.clock())
+            self.holder.ended(job.id, answer, self.clock())
             self._wake()
 
     # --- bookkeeping ----------------------------------------------------------------------------
--- a/burlmoor/rig/ledger.py
+++ b/burlmoor/rig/ledger.py
@@ -58,6 +58,7 @@
 
     asked: dict[str, Asked] = field(default_factory=dict)
     ran: list[Ran] = field(default_factory=list)
+    to_unix: float = 0.0  # what takes the rig's clock to Unix time
     strange: list[str] = field(default_factory=list)  # what no party that keeps to the protocol does
 
     def runs(self) -> dict[str, list[Ran]]:
--- a/burlmoor/rig/town.py
+++ b/burlmoor/rig/town.py
@@ -138,16 +138,22 @@
 
 @asynccontextmanager
 async def town(
-    folder: Path, specs: Mapping[str, Spec], nodes: int = 1, options: str | None = None, **changes: Any
+    folder: Path,
+    specs: Mapping[str, Spec],
+    nodes: int = 1,
+    options: str | None = None,
+    start: bool = True,
+    **changes: Any,
 ) -> AsyncIterator[Town]:
-    """An installation that is up; `changes` are laid over the platform's settings."""
+    """An installation that is up, unless `start` is left to others; `changes` alter the settings."""
     async with trio.open_nursery() as nursery:
         made = Town(nursery, folder, specs, nodes)
         made.settings = {**made.settings, **changes}
         for node in made.nodes:
             node.options = options
         try:
-            await made.start()
+            if start:
+                await made.start()
             yield made
             await made.end()
         finally:
--- a/burlmoor/waiting/pace.py
+++ b/burlmoor/waiting/pace.py
@@ -13,11 +13,20 @@
 _T = TypeVar("_T")
 
 
+_LEAST, _MORE, _LESS = 0.1, 0.02, 0.8  # of the full rate at least, more by each served, less by each refused
+
+
 class Bucket:
-    """Owns tokens that fill at `rate` a second up to `burst`."""
+    """Owns tokens that fill at `rate` a second up to `burst`.
+
+    The rate goes up evenly with each released job that was served and down by a share with each that was
+    refused
+    (additive increase, multiplicative decrease: Chiu and Jain, 1989), between a tenth of the full rate and
+    it.
+    """
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
-        self.rate, self.burst = rate, burst
+        self._full, self.rate, self.burst = rate, rate, burst
         self._tokens, self._at = burst, now
 
     def _fill(self, now: float) -> None:
@@ -33,6 +42,14 @@
         self._tokens = max(0.0, self._tokens - 1.0)
         return True
 
+    def learn(self, served: bool, now: float) -> None:
+        """A released job was served, or refused."""
+        self._fill(now)
+        rate = self.rate + _MORE * self._full if served else self.rate * _LESS
+        self.rate = max(_LEAST * self._full, min(self._full, rate))
+        if not served:
+            self._tokens = min(self._tokens, 1.0)  # no burst right after a refusal
+
     def due(self, now: float) -> float:
         """When there is a token."""
         self._fill(now)
--- a/burlmoor/waiting/ward.py
+++ b/burlmoor/waiting/ward.py
@@ -16,7 +16,7 @@
 from immutables import Map
 
 from burlmoor import messages as m
-from burlmoor.core import Answer, Conditions, FixedResponse, Release, Say, Turned, Unmet
+from burlmoor.core import Answer, Conditions, FixedResponse, Release, Say, Served, Turned, Unmet
 from burlmoor.options.sections import Waiting
 from burlmoor.waiting.graph import Bounds, Graph, Reason, Waiter
 from burlmoor.waiting.pace import Bucket, Line
@@ -73,6 +73,7 @@
         self._graph = Graph(_bounds(given, places))
         self._line: Line[Waiter] = Line(Bucket(given.release_rate, given.release_burst, now))
         self._held: dict[str, _Held] = {}
+        self._out: set[str] = set()  # released and not over
         self._shut = False
         self._stale: dict[str, None] = {}  # whose entry in the snapshot is to be made anew
         self.bytes = 0
@@ -110,11 +111,17 @@
         self._graph.opened(ref)
         self._touch_children(ref)
 
-    def ended(self, ref: str, served: bool, now: float) -> None:
-        """A job is over."""
+    def ended(self, ref: str, answer: Answer | None, now: float) -> None:
+        """A job is over, with its answer; None where its client has left."""
         self._touch_children(ref)
+        served = isinstance(answer, Served)
         self._graph.ended(ref, served, now)
         self._let_go(ref)
+        if ref in self._out:
+            self._out.discard(ref)
+            if served or isinstance(answer, FixedResponse):
+                # Guards released jobs against each other: where they are refused, fewer are let go at a time.
+                self._line.bucket.learn(served, now)
 
     def hold(self, ref: str, request: m.Request, conditions: Conditions, deadline: float, now: float) -> None:
         """A job that was just opened is to wait; what becomes of it comes out of `step`, never at once."""
@@ -148,10 +155,11 @@
                 self._line.put(waiter.latest, self._held[waiter.id].slots, waiter)
                 self._stale[waiter.id] = None
                 continue
-            out.append(Turned(waiter.id, self._answer(waiter, unix)))
+            answer = self._answer(waiter, unix)
+            out.append(Turned(waiter.id, answer))
             self.turned += 1
             # Told here, not once the core has answered: a long chain ends in one go, not a link a step.
-            self.ended(waiter.id, False, now)
+            self.ended(waiter.id, answer, now)
         left = math.nan  # asked for only where somebody may go
         while len(out) < _AT_ONCE and (first := self._line.first()) is not None:
             if first.id not in self._held or first.ending is not None:
@@ -165,6 +173,7 @@
             claim = min(1.0, (now - waiter.since) / self._given.ageing)
             out.append(Release(waiter.id, claim))
             self.released += 1
+            self._out.add(waiter.id)
             self._let_go(waiter.id)
             self._graph.remove(waiter.id)
         self._refresh()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -46,6 +46,7 @@
         self.watches: list[Wire] = []
         self.left: list[Wire] = []  # calls to discovery whose connection the node has ended
         self.asked: list[str] = []
+        self.kept: list[Wire] = []  # clients' connections that a story holds open without looking at them
         self.news = trio.Event()
 
     def happened(self) -> None:
--- a/tests/waiting/test_graph.py
+++ b/tests/waiting/test_graph.py
@@ -266,3 +266,15 @@
     while (thing := agenda.pop(25.0)) is not None:
         handed.append(thing)
     assert handed == [number for at, number in sorted(kept) if at <= 25]
+
+
+def test_a_thousand_parents() -> None:
+    graph = Graph(BOUNDS)
+    names = [f"p{number}" for number in range(1000)]
+    for name in names:
+        graph.opened(name)
+    wait(graph, "c", *names)
+    for name in names:
+        assert drained(graph, 1.0) == []
+        graph.ended(name, True, 1.0)
+    assert drained(graph, 1.0) == [("c", None)]
