Let a herd feel its way, keep nothing of a job that is over, and survive a fault in the ward

A job that had waited was kept until its client's far deadline.

Change: released jobs that are out are bounded by a window that grows with each served and halves with refusals; held jobs enter the deadline heap at release; a fault of the ward refuses what waits and the node goes on.

--- a/burlmoor/cli/load.py
+++ b/burlmoor/cli/load.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import json
-import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from pathlib import Path
 from typing import IO, Any
 
 import click
-import msgspec
 import trio
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
@@ -20,15 +17,13 @@
 
 from burlmoor.net.stream import address
 from burlmoor.rig.clients import Clients
-from burlmoor.rig.discovery import Discovery
 from burlmoor.rig.ledger import Ledger
 from burlmoor.rig.load import Generator, Meter, Report, draw
 from burlmoor.rig.machine import Spec
-from burlmoor.rig.node import Node
-from burlmoor.rig.town import KINDS, Kind, fleet, settings, town
+from burlmoor.rig.own import own_node
+from burlmoor.rig.town import KINDS, Kind, fleet, town
 
 _ERR = Console(stderr=True)
-_SHARDS = 4  # processes of stand-in executors: each bears some 300 jobs a second
 
 
 def written(report: Report, title: str) -> Table:
@@ -105,50 +100,6 @@
         sys.exit(1)
 
 
-async def _shard(executors: dict[str, Spec], relay: tuple[str, int]) -> tuple[trio.Process, dict[str, str]]:
-    """Executors in a process of their own, and where each listens."""
-    process = await trio.lowlevel.open_process(
-        [sys.executable, "-m", "burlmoor.rig"], stdin=subprocess.PIPE, stdout=subprocess.PIPE
-    )
-    assert process.stdin is not None and process.stdout is not None
-    await process.stdin.send_all(msgspec.json.encode({"executors": executors, "relay": relay}) + b"\n")
-    line = b""
-    while not line.endswith(b"\n"):
-        more = await process.stdout.receive_some(65536)
-        if not more:
-            raise RuntimeError("the stand-in executors have ended")
-        line += more
-    return process, json.loads(line)
-
-
-@asynccontextmanager
-async def own_node(executors: dict[str, Spec], kinds: tuple[Kind, ...], folder: Path) -> AsyncIterator[Node]:
-    """One node, and executors in a few processes of their own, so that they bear more than the node."""
-    node, names = Node("n0", folder), list(executors)
-    processes: list[trio.Process] = []
-    try:
-        async with trio.open_nursery() as nursery:
-            dials: dict[str, str] = {}
-            for part in range(min(_SHARDS, len(names))):
-                process, at = await _shard({n: executors[n] for n in names[part::_SHARDS]}, node.listen)
-                processes.append(process)
-                dials |= at
-            discovery = Discovery(nursery)
-            address = await discovery.listen("n0", dials)
-            for name in names:
-                discovery.tell(name)
-            await node.start(nursery, settings(kinds), address, discovery.whole("n0"))
-            yield node
-            await node.stop()
-            nursery.cancel_scope.cancel()
-    finally:
-        with trio.CancelScope(shield=True):
-            await node.kill()
-            for process in processes:
-                process.kill()
-                await process.wait()
-
-
 async def _loaded(to: tuple[str, int], pid: int | None, rate: float, seconds: float, seed: int,
                   kinds: tuple[Kind, ...]) -> Report:  # fmt: skip
     arrivals = draw(rate, seconds, kinds, seed)
--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -259,7 +259,6 @@
             once=request.job_class in self._once,
         )
         self._jobs[job.number] = self._ids[request_id] = job
-        self._limit(job.deadline, job)
         if self.holder is not None:
             self.holder.opened(request_id)
             if conditions is not None:
@@ -267,6 +266,8 @@
                 self.holder.hold(request_id, request, conditions, job.deadline, now)
             self._wake()
         if job.held is None:
+            # One that is held ends or is released before its deadline; noted here it would be kept till then.
+            self._limit(job.deadline, job)
             self._post(request._replace(id=job.number, patience=patience))
         return job
 
@@ -344,8 +345,7 @@
         now = self._stepped = self.clock()
         late = self._expire(now)
         if self.holder is not None:
-            for verdict in self.holder.step(now, self._room):
-                self._obey(verdict, now)
+            self._step_holder(self.holder, now)
         while self._timers and self._timers[0][0] <= now:
             self._events.append(m.Timer(heapq.heappop(self._timers)[1]))
         events, self._events = [self._aged(event, now) for event in self._events], []
@@ -371,6 +371,18 @@
                     self._post(m.Gone(job.number))
                 self._forget(job)
 
+    def _step_holder(self, holder: Holder, now: float) -> None:
+        try:
+            for verdict in holder.step(now, self._room):
+                self._obey(verdict, now)
+        except Exception as error:
+            # Guards the node, and rule 1, against a fault there: what waits is refused, none waits then on.
+            self._say("waiting-failed", error=repr(error))
+            self.holder = None
+            for job in [job for job in self._jobs.values() if job.held is not None and not job.over]:
+                self._answer(job, FixedResponse())
+                self._forget(job)
+
     def _obey(self, verdict: Release | Turned, now: float) -> None:
         """Carry out what becomes of a job that waited."""
         job = self._ids.get(verdict.id)
--- a/burlmoor/options/sections.py
+++ b/burlmoor/options/sections.py
@@ -29,7 +29,7 @@
     remembered: _Count = 50_000  # ended jobs, the latest
     least_left: Annotated[float, duration("0 ms", "1 min")] = 100.0  # besides its work, at release
     release_rate: _Count = 50  # jobs released a second where no executor is known to have room
-    release_burst: _Count = 10
+    release_burst: _Count = 3
     ageing: Annotated[float, duration("1 ms", "1 h")] = 1000.0  # of waiting until its claim is whole
 
 
--- a/burlmoor/rig/ledger.py
+++ b/burlmoor/rig/ledger.py
@@ -22,6 +22,7 @@
     answers: int = 0
     body: bytes = b""
     left: float | None = None  # when its client went away, if it did
+    node: int = 0  # where it was asked
 
     @property
     def served(self) -> bool:
@@ -58,6 +59,8 @@
 
     asked: dict[str, Asked] = field(default_factory=dict)
     ran: list[Ran] = field(default_factory=list)
+    # When a node that stops refused what waited there: which node, from when until when.
+    closings: list[tuple[int, float, float]] = field(default_factory=list)
     to_unix: float = 0.0  # what takes the rig's clock to Unix time
     strange: list[str] = field(default_factory=list)  # what no party that keeps to the protocol does
 
@@ -85,6 +88,13 @@
             if each.answered is not None and each.latency > each.patience + slack
         ]
 
+    def closed_on(self, asked: Asked) -> bool:
+        """Whether a job was refused by a node that was about to end."""
+        return asked.refused and any(
+            node == asked.node and since <= (asked.answered or 0.0) <= until
+            for node, since, until in self.closings
+        )
+
     def invented(self) -> list[str]:
         """Served answers that no executor gave."""
         done = {each.id for each in self.ran if each.end == "done"}
--- /dev/null
+++ b/burlmoor/rig/own.py
@@ -0,0 +1,67 @@
+"""One node, and stand-in executors in processes of their own, for loads that one interpreter can't bear."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import msgspec
+import trio
+
+from burlmoor.rig.discovery import Discovery
+from burlmoor.rig.machine import Spec
+from burlmoor.rig.node import Node
+from burlmoor.rig.town import Kind, settings
+
+_SHARDS = 4  # processes of stand-in executors: each bears some 300 jobs a second
+
+
+async def _shard(executors: dict[str, Spec], relay: tuple[str, int]) -> tuple[trio.Process, dict[str, str]]:
+    """Executors in a process of their own, and where each listens."""
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-m", "burlmoor.rig"], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
+    assert process.stdin is not None and process.stdout is not None
+    await process.stdin.send_all(msgspec.json.encode({"executors": executors, "relay": relay}) + b"\n")
+    line = b""
+    while not line.endswith(b"\n"):
+        more = await process.stdout.receive_some(65536)
+        if not more:
+            raise RuntimeError("the stand-in executors have ended")
+        line += more
+    return process, json.loads(line)
+
+
+@asynccontextmanager
+async def own_node(
+    executors: dict[str, Spec], kinds: tuple[Kind, ...], folder: Path, command: list[str] | None = None
+) -> AsyncIterator[Node]:
+    """One node, and executors in a few processes of their own, so that they bear more than the node."""
+    node, names = Node("n0", folder), list(executors)
+    node.command = command or node.command
+    processes: list[trio.Process] = []
+    try:
+        async with trio.open_nursery() as nursery:
+            dials: dict[str, str] = {}
+            for part in range(min(_SHARDS, len(names))):
+                process, at = await _shard({n: executors[n] for n in names[part::_SHARDS]}, node.listen)
+                processes.append(process)
+                dials |= at
+            discovery = Discovery(nursery)
+            address = await discovery.listen("n0", dials)
+            for name in names:
+                discovery.tell(name)
+            await node.start(nursery, settings(kinds), address, discovery.whole("n0"))
+            yield node
+            await node.stop()
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.CancelScope(shield=True):
+            await node.kill()
+            for process in processes:
+                process.kill()
+                await process.wait()
--- a/burlmoor/waiting/pace.py
+++ b/burlmoor/waiting/pace.py
@@ -56,6 +56,31 @@
         return now + max(0.0, 1.0 - self._tokens) * 1000.0 / self.rate
 
 
+_FIRST, _SMALLEST, _LARGEST, _CUT_EVERY = 8.0, 2.0, 10_000.0, 200.0
+
+
+class Window:
+    """Owns how many released jobs may be out at once where there seems to be room.
+
+    What a node takes for room is shared with other nodes and may be old, so a herd feels its way: twice as
+    many with
+    each served until the first refusal, one more a window from then on, and half as many after a refusal
+    (RFC 5681, sections 3.1 and 3.2, with jobs for segments). Refusals within 200 ms count once.
+    """
+
+    def __init__(self) -> None:
+        self.size, self._threshold, self._cut = _FIRST, math.inf, -math.inf
+
+    def learn(self, served: bool, now: float) -> None:
+        """A released job was served, or refused."""
+        if served:
+            step = 1.0 if self.size < self._threshold else 1.0 / self.size
+            self.size = min(_LARGEST, self.size + step)
+        elif now >= self._cut + _CUT_EVERY:
+            self.size = self._threshold = max(_SMALLEST, 0.5 * self.size)
+            self._cut = now
+
+
 class Line(Generic[_T]):
     """Owns what is free to run, the one that has to go soonest first."""
 
@@ -73,14 +98,14 @@
         heapq.heappush(self._heap, (latest, self._number, slots, thing))
 
     def next(self, now: float, room: float) -> tuple[_T, float] | None:
-        """One that goes now, and the room that is left after it; None where all have to wait."""
+        """One that goes now, and the slots that it takes; None where all have to wait."""
         if not self._heap:
             return None
         _, _, slots, thing = self._heap[0]
         if room < slots and not self.bucket.take(now):
             return None
         heapq.heappop(self._heap)
-        return thing, room - slots
+        return thing, slots
 
     def skip(self) -> None:
         """Drop the first: it waits no more."""
--- a/burlmoor/waiting/ward.py
+++ b/burlmoor/waiting/ward.py
@@ -19,7 +19,7 @@
 from burlmoor.core import Answer, Conditions, FixedResponse, Release, Say, Served, Turned, Unmet
 from burlmoor.options.sections import Waiting
 from burlmoor.waiting.graph import Bounds, Graph, Reason, Waiter
-from burlmoor.waiting.pace import Bucket, Line
+from burlmoor.waiting.pace import Bucket, Line, Window
 
 _AT_ONCE = 100  # jobs handed out by one step, so that the loop is not held up by a long chain
 _LONGEST_ADVICE = 3_600_000.0  # ms
@@ -72,6 +72,7 @@
         self._rng = random.Random(seed)
         self._graph = Graph(_bounds(given, places))
         self._line: Line[Waiter] = Line(Bucket(given.release_rate, given.release_burst, now))
+        self._window = Window()
         self._held: dict[str, _Held] = {}
         self._out: set[str] = set()  # released and not over
         self._shut = False
@@ -122,6 +123,7 @@
             if served or isinstance(answer, FixedResponse):
                 # Guards released jobs against each other: where they are refused, fewer are let go at a time.
                 self._line.bucket.learn(served, now)
+                self._window.learn(served, now)
 
     def hold(self, ref: str, request: m.Request, conditions: Conditions, deadline: float, now: float) -> None:
         """A job that was just opened is to wait; what becomes of it comes out of `step`, never at once."""
@@ -166,10 +168,11 @@
                 self._line.skip()
                 continue
             left = room() if math.isnan(left) else left
-            going = self._line.next(now, left)
+            seems = left if len(self._out) < self._window.size else -math.inf
+            going = self._line.next(now, seems)
             if going is None:
                 break
-            waiter, left = going
+            waiter, left = going[0], left - going[1]
             claim = min(1.0, (now - waiter.since) / self._given.ageing)
             out.append(Release(waiter.id, claim))
             self.released += 1
--- a/tests/waiting/test_stories.py
+++ b/tests/waiting/test_stories.py
@@ -92,6 +92,7 @@
         parent, child = await ask(made, "p"), await ask(made, "c", "p")
         grandchild = await ask(made, "g", "c")
         await held(made, 2)
+        await sent(made, "p")
         if how == "leaves":
             await parent.stream.aclose()
         else:
@@ -158,6 +159,7 @@
         assert (await made.answer(await ask(made, "c", "p"))).status == 400
         await child.stream.aclose()
         await held(made, 0)
+        await sent(made, "p")
         await made.tell("done")
         again = await ask(made, "c", "p")
         await sent(made, "p", "c")
@@ -194,6 +196,7 @@
         await ask(made, "p")
         child = await ask(made, "c", "p")
         await held(made, 1)
+        await sent(made, "p")
         if how == "drain":
             made.node.service.drain()
         else:
@@ -217,6 +220,7 @@
         await ask(made, "p")
         first = await ask(made, "c1", "p")
         await held(made, 1)
+        await sent(made, "p")
         path.write_text("[waiting]\njobs = none\n")
         made.node.reload(given)
         path.write_text("[waiting]\nfan-out = 1\n")
