--- a/burlmoor/rig/drill_waiting.py
+++ b/burlmoor/rig/drill_waiting.py
@@ -233,11 +233,11 @@
             early += came is not None and came + ledger.to_unix < each.not_before - 1.0
         if _released_at(each, ledger) is not None:
             released.append(each)
-    # A family whose parent ends twice over (left and failed) is counted by the first of its parents to end.
     claims = verdict.claims
     claims["unanswered"] = Claim(len(ledger.unanswered()), 0)
     claims["late"] = Claim(len(ledger.late(_SLACK)), 0)
-    claims["answered twice"] = Claim(sum(each.answers > 1 for each in ledger.asked.values()), 0)
+    twice = sum(each.answers > 1 for each in ledger.asked.values())
+    claims["answered twice"] = Claim(twice + len(ledger.misplaced()), 0)
     claims["ran twice"] = Claim(len(ledger.twice(_ONCE)), 0)
     claims["invented"] = Claim(len(ledger.invented()), 0)
     claims["ran before what it names"] = Claim(before, 0)
@@ -248,8 +248,8 @@
     claims["bad exits"] = Claim(sum(status != 0 for status in statuses) + (not statuses), 0)
     waited = [each for each in ledger.asked.values() if each.after or each.not_before]
     verdict.figures = {
-        "jobs": len(ledger.asked), "waited": len(waited), "released": len(released), "ended with a parent":
-        len(lags), "served of released": sum(each.served for each in released) / max(1, len(released)),
+        "jobs": len(ledger.asked), "waited": len(waited), "released": len(released),
+        "ended with a parent": len(lags), "served of released": _served(released),
         "served of plain": _served([each for each in ledger.asked.values() if each.id.startswith("p-")]),
         "parent's end to child's end, p50 ms": _percentile(lags, 50.0),
         "parent's end to child's end, max ms": max(lags, default=0.0),
--- a/burlmoor/rig/ledger.py
+++ b/burlmoor/rig/ledger.py
@@ -88,6 +88,14 @@
             if each.answered is not None and each.latency > each.patience + slack
         ]
 
+    def misplaced(self) -> list[str]:
+        """Served answers that carry another job's result: a second answer shows as the next request's."""
+        return [
+            each.id
+            for each in self.asked.values()
+            if each.served and each.body and each.body.partition(b"@")[0] != each.id.encode()
+        ]
+
     def closed_on(self, asked: Asked) -> bool:
         """Whether a job was refused by a node that was about to end."""
         return asked.refused and any(
--- a/tests/rig/test_drill.py
+++ b/tests/rig/test_drill.py
@@ -85,6 +85,7 @@
         (change("b", answered=None, answers=0, status=0), "unanswered"),
         (change("p-3", answered=5061.0), "late"),
         (change("b", answers=2), "answered twice"),
+        (change("b", body=b"a@s"), "answered twice"),
         (add("c", "confirm-booking", "s", 1.0, 2.0), None),
         (row("p-1", end="died"), "invented"),
         (row("b", came=8.0), "ran before what it names"),
