Share the id's pattern and the roomy fleet, and wake the core only while clients are sent away

Change: one REQUEST_ID, one roomy(); the ward acts on the step to being shut alone; a plainer line in Core.take.

--- a/benchmarks/limit.py
+++ b/benchmarks/limit.py
@@ -19,8 +19,7 @@
 from burlmoor.rig.clients import Clients
 from burlmoor.rig.ledger import Ledger
 from burlmoor.rig.load import Generator, Meter, draw
-from burlmoor.rig.machine import Spec
-from burlmoor.rig.own import own_node
+from burlmoor.rig.own import own_node, roomy
 from burlmoor.rig.town import KINDS
 
 _EXECUTORS, _RUN_MS = 14, 50.0
@@ -30,10 +29,9 @@
 
 async def _one(rate: float, seconds: float, sampled: bool, folder: Path) -> dict[str, Any]:
     kinds = tuple(kind._replace(work=_RUN_MS) for kind in KINDS)
-    roomy = {f"s-{n:03d}": Spec(cores=10_000.0, slots=10_000, queue=10_000) for n in range(_EXECUTORS)}
     profile = folder / "profile.json"
     command = [sys.executable, "-m", "benchmarks.sampled", str(profile)] if sampled else None
-    async with own_node(roomy, kinds, folder, command) as node:
+    async with own_node(roomy(_EXECUTORS), kinds, folder, command) as node:
         clients = Clients(node.listen, Ledger())
         meter = Meter(node.pid)
         report = await Generator([clients]).run(draw(rate, seconds, kinds, 1))
--- a/burlmoor/cli/load.py
+++ b/burlmoor/cli/load.py
@@ -19,8 +19,7 @@
 from burlmoor.rig.clients import Clients
 from burlmoor.rig.ledger import Ledger
 from burlmoor.rig.load import Generator, Meter, Report, draw
-from burlmoor.rig.machine import Spec
-from burlmoor.rig.own import own_node
+from burlmoor.rig.own import own_node, roomy
 from burlmoor.rig.town import KINDS, Kind, fleet, town
 
 _ERR = Console(stderr=True)
@@ -116,9 +115,7 @@
 
 async def _own(rate: float, seconds: float, seed: int, executors: int, run_ms: float, folder: Path) -> Report:
     kinds = tuple(kind._replace(work=run_ms) for kind in KINDS)
-    # Room for all: what is measured is the node.
-    roomy = {f"s-{n:03d}": Spec(cores=10_000.0, slots=10_000, queue=10_000) for n in range(executors)}
-    async with own_node(roomy, kinds, folder) as node:
+    async with own_node(roomy(executors), kinds, folder) as node:
         return await _loaded(node.listen, node.pid, rate, seconds, seed, kinds)
 
 
--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -244,8 +244,8 @@
             return None
         self._numbers += 1
         # Guards against a figure that holds a job, and a node that stops, far beyond what its class may wait.
-        waits = conditions is not None and self.holder is not None
-        longest = self.holder.longest if waits and self.holder else self._may_take(request)
+        holder = self.holder if conditions is not None else None
+        longest = holder.longest if holder is not None else self._may_take(request)
         patience = min(request.patience, longest)
         now = self.clock()
         job = Job(
--- a/burlmoor/net/listener.py
+++ b/burlmoor/net/listener.py
@@ -17,7 +17,7 @@
 BODY_LIMIT = 64 * 1024
 READY_PATH = "/health/ready"
 CALLBACK_PATH = "/v1/job-events"
-_ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
+REQUEST_ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
 _FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _WHOLE = re.compile(r"[0-9]{1,9}")
 _REASON = 100  # characters of it
@@ -185,7 +185,7 @@
                 raise _BadHeader(f"{name.decode()} is given twice")
             given[name] = value.decode("latin-1")
         request_id = given.get(b"request-id", "")
-        if not _ID.fullmatch(request_id):
+        if not REQUEST_ID.fullmatch(request_id):
             raise _BadHeader("Request-Id is missing or malformed")
         patience = _whole(given, b"request-timeout-ms")
         if patience <= 0:
--- a/burlmoor/rig/own.py
+++ b/burlmoor/rig/own.py
@@ -20,6 +20,11 @@
 _SHARDS = 4  # processes of stand-in executors: each bears some 300 jobs a second
 
 
+def roomy(count: int) -> dict[str, Spec]:
+    """Executors with room for all, so that what is measured is the node."""
+    return {f"s-{n:03d}": Spec(cores=10_000.0, slots=10_000, queue=10_000) for n in range(count)}
+
+
 async def _shard(executors: dict[str, Spec], relay: tuple[str, int]) -> tuple[trio.Process, dict[str, str]]:
     """Executors in a process of their own, and where each listens."""
     process = await trio.lowlevel.open_process(
--- a/burlmoor/waiting/conditions.py
+++ b/burlmoor/waiting/conditions.py
@@ -10,9 +10,9 @@
 from collections.abc import Sequence
 
 from burlmoor.core import BadCondition, Conditions
+from burlmoor.net.listener import REQUEST_ID
 
 RUN_AFTER, NOT_BEFORE = b"run-after", b"not-before"
-_ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
 _TIME = re.compile(r"[0-9]{1,15}")
 
 
@@ -39,7 +39,7 @@
         if not names:
             raise BadCondition("Run-After names no job")
         for name in names:
-            if not _ID.fullmatch(name):
+            if not REQUEST_ID.fullmatch(name):
                 raise BadCondition("Run-After is not a list of ids")
         if request_id in names:
             raise BadCondition("Run-After names the job itself")
--- a/burlmoor/waiting/pace.py
+++ b/burlmoor/waiting/pace.py
@@ -20,9 +20,8 @@
     """Owns tokens that fill at `rate` a second up to `burst`.
 
     The rate goes up evenly with each released job that was served and down by a share with each that was
-    refused
-    (additive increase, multiplicative decrease: Chiu and Jain, 1989), between a tenth of the full rate and
-    it.
+    refused (additive increase, multiplicative decrease: Chiu and Jain, 1989), between a tenth of the full
+    rate and all of it.
     """
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
@@ -62,9 +61,8 @@
 class Window:
     """Owns how many released jobs may be out at once where there seems to be room.
 
-    What a node takes for room is shared with other nodes and may be old, so a herd feels its way: twice as
-    many with
-    each served until the first refusal, one more a window from then on, and half as many after a refusal
+    What a node takes for room is shared with other nodes and may be old, so a herd feels its way: one
+    more with each served until the first refusal, then one more a window, and half as many after a refusal
     (RFC 5681, sections 3.1 and 3.2, with jobs for segments). Refusals within 200 ms count once.
     """
 
--- a/burlmoor/waiting/service.py
+++ b/burlmoor/waiting/service.py
@@ -43,7 +43,8 @@
         if ward is None:
             return
         ward.shut(shut)
-        self._core.wake()
+        if shut:
+            self._core.wake()
         if self._front.conditions is None and not ward.held:
             # Turned off, and the last that waited has gone.
             self.ward = self._core.holder = self._front.shut_waiting = None
--- a/burlmoor/waiting/ward.py
+++ b/burlmoor/waiting/ward.py
@@ -1,8 +1,6 @@
-"""Holds the jobs that wait on behalf of the core: takes them in within its caps, and says who goes and who
-ends.
+"""Holds the jobs that wait, for the core: takes them in within its caps, says who goes and who ends.
 
-Knows no socket and no thread; the core gives it the time, and it reads Unix time from the clock that it is
-given.
+Knows no socket and no thread. The core gives it the time; Unix time it reads from the clock it is given.
 """
 
 from __future__ import annotations
@@ -54,8 +52,7 @@
 class Ward:
     """Owns the graph of what waits, its caps, and the snapshot that is shown.
 
-    `places` are the clients' connections that the node may have; `advice` the longest that refusals advise,
-    ms.
+    `places` are the clients' connections that the node may have; `advice` the most that refusals advise, ms.
     """
 
     def __init__(
@@ -100,7 +97,7 @@
 
     def shut(self, shut: bool) -> None:
         """Whether clients are sent away: then what waits ends, and whoever comes to wait."""
-        if shut and self._held:
+        if shut and not self._shut and self._held:
             self._say("waiting-ended", jobs=len(self._held))
             self._graph.close()
         self._shut = shut
