Deal cold executors' budgets to the nodes in whole jobs, and steer jobs to those dealt

Saving it up without a bound could send twenty times the budget at once.

Each executor has an order of all nodes, the same at every node (its id, Me, Balancers). Its budget for a window, in jobs of mean cost, is dealt to the first of them, a whole job each; a node saves one and may owe one, so the worst of all nodes is three times the 0.3 that they plan: 0.9 of the budget. What an executor can do once warm comes from what all are told (QuotaRps over the most executors listed, by pace of kind within half), not from a node's own view. Nodes look at those dealt to them for each job, beside its key's homes. The link between two processes of a node carries another form: version 2.

--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -1,8 +1,8 @@
 """Every decision of one node: which executor runs which job, when, how often, or whether it is turned away.
 
-Types of settings, events and actions: `burlmoor/messages.py`; design: `docs/design.md`. A job's life: it
-waits in the queue, a round matches it to an executor by what the worker book has learned, the gate lets each
-attempt and answer through or not, outcomes teach the book. `Dispatcher.handle` is the only entry.
+Types: `burlmoor/messages.py`; design: `docs/design.md`. A job waits in the queue, a round matches it to an
+executor by what the worker book has learned, the gate lets each attempt and answer through or not, outcomes
+teach the book. `Dispatcher.handle` is the only entry.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from zlib import crc32
 
 from burlmoor import messages as m
+from burlmoor.means import Mean
 
 # Weights of priority, P = ALPHA * Tmin/T + BETA * N/Nmax + DELTA * Pgroup, and what a round's wait adds.
 ALPHA, BETA, DELTA, AGING = 1.0, 1.0, 8.0, 0.05
@@ -30,13 +31,15 @@
 KEY_ROOM = 1.5  # as many times the executors that a key's jobs fill are its homes, where that is more
 BANDS = 5  # complexity classes, by the hint's size against the mean
 SKILL_HALF = 8000.0  # evidence on speed and stability halves in this time
+COST_HALF = 64_000.0  # and on what a job costs: nodes that see few jobs need many to agree on it
 FULL = 0.8  # jobs are refused once what the waiting ones will have taken passes this share of their aims
 MARGIN, CROWDED = 1.1, 0.4  # what an expected time is taken for, and what that grows by as the room fills up
 SHARPNESS = 4.0  # how suddenly the risk of a miss rises as the expected finish nears the aim
 TASTE = 0.05  # what a preference among executors weighs beside the chance to be in time
 FETCH = 2.0  # what the share of a slot's time spent fetching a key weighs beside it: others wait meanwhile
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
-CAUTION = 0.5  # the share of a cold executor's budget that the nodes together plan to use
+CAUTION = 0.3  # the share of a cold executor's budget that all nodes plan to use: 3 times that is the worst
+LARGE = 2.0  # a cold executor gets no job of more than this many times the mean cost
 MOVES, MOVED = 3.0, 0.03  # moves of jobs that have not started: at once, and by each send
 MOST_KEYS = 1000  # whose homes and shares are kept
 MUTE = 3000.0  # an executor that has told nothing for this long may not be working
@@ -48,27 +51,6 @@
 _FAULTS = (m.Outcome.ERROR, m.Outcome.RESET, m.Outcome.UNREACHABLE)
 
 
-class Mean:
-    """A mean that forgets: old evidence halves in weight every half-life and yields to the prior."""
-
-    __slots__ = ("at", "total", "weight")
-
-    def __init__(self) -> None:
-        self.total = self.weight = self.at = 0.0
-
-    def add(self, now: float, value: float, half: float, weight: float = 1.0) -> None:
-        """Take in one piece of evidence."""
-        keep: float = 0.5 ** ((now - self.at) / half)
-        self.total = self.total * keep + value * weight
-        self.weight = self.weight * keep + weight
-        self.at = now
-
-    def read(self, now: float, half: float, prior: float, trust: float = 1.0) -> float:
-        """The mean, with `prior` counted as `trust` pieces of evidence."""
-        keep: float = 0.5 ** ((now - self.at) / half)
-        return (self.total * keep + prior * trust) / (self.weight * keep + trust)
-
-
 class Worker:
     """What one node knows of one executor."""
 
@@ -86,7 +68,8 @@
         self.slow, self.clean, self.delay = Mean(), Mean(), Mean()
         self.cells: dict[int, Mean] = defaultdict(Mean)
         self.keys: dict[str, float] = {}
-        self.cold_window, self.cold_sent, self.cold_draw = -math.inf, 0.0, 1.0
+        # While it is cold: this node's place in its order of all nodes; what it may send, in mean jobs.
+        self.turn, self.credit, self.credit_at = 0, 1.0, 0.0
 
 
 @dataclass(slots=True)
@@ -304,8 +287,10 @@
     def __init__(self, settings: m.Settings, rng: random.Random) -> None:
         self.settings, self.rules, self.rng = settings, settings.rules, rng
         self.workers: dict[str, Worker] = {}
-        self.failures, self.size = 0, 0.0
-        self.served: dict[str, Mean] = defaultdict(Mean)  # work that this node has seen done, by kind
+        self.failures, self.size, self.live, self.most = 0, 0.0, list[Worker](), 1
+        self.cost = 1.0  # what a job takes on average: its work times its slots
+        # Work a ms, in jobs, that the fleet is there for: what its tenants may send together.
+        self.planned = sum(tenant.quota for tenant in settings.tenants) / 1000.0
         self.yielded = False  # whether this node's part of the budgets is another process's now
         self._reach: dict[str | None, Reach] = {}
 
@@ -326,9 +311,20 @@
                 # A restarted process holds nothing of ours: what was learnt of the old one is void.
                 self.workers.pop(entry.executor).live = False
             if entry.state is not m.State.GONE:
-                self.workers[entry.executor] = Worker(entry)
+                self.workers[entry.executor] = worker = Worker(entry)
+                worker.turn = self._turn(worker.mark)
         self._reach.clear()
-        self.size = sum(worker.weight for worker in self.workers.values() if worker.live)
+        self.live = [worker for worker in self.workers.values() if worker.live]
+        self.size = sum(worker.weight for worker in self.live)
+        self.most = max(self.most, len(self.live))  # those that are lost leave their part to nobody
+
+    def _turn(self, mark: int) -> int:
+        """This node's place in an executor's own order of all nodes, which is the same at each of them."""
+        nodes, me = self.settings.balancers, self.settings.me
+        step = mark // nodes % nodes
+        while math.gcd(step, nodes) != 1:
+            step += 1
+        return self.rng.randrange(nodes) if me is None else (me * step + mark) % nodes
 
     def reach(self, kind: str | None) -> Reach:
         """The executors for jobs that need this kind (None: any)."""
@@ -351,26 +347,34 @@
         low = self.rules.cold_capacity
         return low + (1.0 - low) * max(0.0, age) / self.rules.cold
 
-    def cold_allows(self, worker: Worker, cost: float, warmth: float, slowness: float, now: float) -> bool:
-        """Rule 4: one part in `balancers` of what all nodes may send a cold executor within a window.
+    def part(self, worker: Worker, book: Book, now: float) -> tuple[float, float]:
+        """Jobs of mean cost that all nodes may send a cold executor within a window, and this node's of them.
 
-        What it can do once warm is taken from what warm ones of its kind bear: the slots that start promptly
-        there, at their pace, or the work that this node has seen done there, which stands for that of all
-        nodes. Where the part is less than a job, a seeded draw once a window lets the right share of nodes
-        send one.
+        What it can do once warm is its part of what tenants may send together, by the pace of its kind, or
+        what starts promptly on warm ones. Whole jobs are dealt to the nodes: see docs/design.md.
         """
-        peers = [each for each in self.workers.values() if each.live and each.kind == worker.kind]
-        room = min((each.room for each in peers if self.warmth(each, now) >= 1.0), default=0.0)
-        served, warm = self.served[worker.kind], sum(self.warmth(each, now) for each in peers)
-        served.add(now, 0.0, SKILL_HALF, 0.0)
-        borne = served.total * math.log(2.0) / SKILL_HALF * self.settings.balancers / max(1.0, warm)
-        window = self.rules.fall_window
-        if now >= worker.cold_window + window:
-            worker.cold_window, worker.cold_sent, worker.cold_draw = now, 0.0, self.rng.random()
-        able = max(worker.weight, room / slowness, borne)
-        whole = CAUTION * self.rules.fall_multiple * warmth * able * window
-        part = 0.0 if self.yielded else whole / self.settings.balancers
-        return cost <= 0.5 * whole and worker.cold_sent + cost * worker.cold_draw <= part
+        cost, pace = self.cost, book.kind(worker.kind, now)
+        faster = max(0.5, min(1.5, book.fleet_slow.read(now, SKILL_HALF, 1.0) / pace))
+        able = self.planned * cost / self.most * faster
+        if not self.planned:
+            peers = (each for each in self.live if each.kind == worker.kind)
+            able = min((each.room for each in peers if self.warmth(each, now) >= 1.0), default=0.0) / pace
+        able = CAUTION * self.rules.fall_multiple * max(worker.weight, able) * self.warmth(worker, now)
+        rounds, rest = divmod(whole := able * self.rules.fall_window / cost, self.settings.balancers)
+        return whole, 0.0 if self.yielded else rounds + max(0.0, min(1.0, rest - worker.turn))
+
+    def lent(self, book: Book, now: float) -> list[Worker]:
+        """The cold executors of which this node has a part."""
+        cold = (each for each in self.live if self.warmth(each, now) < 1.0)
+        return [each for each in cold if self.part(each, book, now)[1] > 0.0]
+
+    def cold_allows(self, worker: Worker, cost: float, book: Book, now: float) -> bool:
+        """Rule 4, summed over all nodes: each saves up one job at most, and owes one at most."""
+        whole, part = self.part(worker, book, now)
+        gained = part * (now - worker.credit_at) / self.rules.fall_window
+        worker.credit, worker.credit_at = min(1.0, worker.credit + gained), now
+        jobs = cost / self.cost
+        return part > 0.0 and jobs <= min(LARGE, 0.5 * whole / CAUTION) and worker.credit >= min(1.0, jobs)
 
 
 class Dispatcher:
@@ -391,7 +395,7 @@
         self.keyed, self.asked = Mean(), dict[str, Mean]()  # jobs with a key, and by key, the latest last
         self.full_patience = dict.fromkeys(self.classes, 0.0)
         self.class_work = {job_class.name: Mean() for job_class in settings.classes}
-        self.mean_worth, self.margin = Mean(), MARGIN
+        self.mean_worth, self.costs, self.margin = Mean(), Mean(), MARGIN
         self.top_worth = 1e-9 + settings.worth_by_work * max(each.worth for each in settings.classes)
         self.moves = MOVES  # that are allowed now
         self.held = 0.0  # slots that own attempts hold over the whole fleet
@@ -399,6 +403,7 @@
         self.waiting: dict[int, Job] = {}
         self.fresh: dict[Worker, None] = {}  # executors where a slot was free, the latest last
         self.saved: set[Worker] = set()  # executors kept free in this round for wide jobs that wait
+        self.wards, self.wards_at = list[Worker](), 0.0  # cold executors that this node may send to
         self.round_at = math.inf
         self.wary = self.strict = True  # whether faults keep jobs away from an executor
         self.agenda: list[tuple[float, int, Job | None]] = []  # time, order, job to check (None: subscribe)
@@ -452,6 +457,7 @@
             self._schedule(now + self.members.next_call(failed), None)
         if not failed:
             self.members.update(event)
+            self.wards_at = 0.0
 
     def _yielded(self, event: m.Yielded, _now: float) -> None:
         self.members.yielded = event.yielded
@@ -473,6 +479,8 @@
         self.jobs[job.id] = job
         job.trial = self.rng.random() < TRIAL
         self.book.mean_work.add(now, work, SKILL_HALF)
+        self.costs.add(now, work * job.slots, COST_HALF)
+        self.members.cost = max(1e-3, self.costs.total / self.costs.weight)
         job.worth = job_class.worth * (work if self.settings.worth_by_work else 1.0)
         self.mean_worth.add(now, job.worth, SKILL_HALF)
         within = self._within_share(event.tenant, now)
@@ -527,6 +535,9 @@
         most_urgent = 2 * sum(job.urgent for job in queue) > len(queue)
         self.waiting, misses = {}, 0
         self.saved.clear()
+        if now >= self.wards_at:
+            self.wards = self.members.lent(self.book, now)
+            self.wards_at = now + 0.1 * self.settings.rules.fall_window
         for job in sorted(queue, key=lambda job: not job.urgent):
             job.waiting = misses >= MISSES or not self._place(job, most_urgent, now, pace)
             misses = misses + 1 if job.waiting else 0
@@ -567,9 +578,7 @@
     def _trusted(self, job: Job, worker: Worker, now: float) -> bool:
         """Whether the job may go there for all that is known of the executor's faults.
 
-        Guards against executors that fail at once: always free, they would draw job after job. One at a time
-        tests whether they have recovered, and it is one that may be sent again. Where most of the fleet looks
-        so, the trouble is more likely on our own side, and none is left out.
+        Guards against executors that fail at once, always free: one repeatable job at a time tests them.
         """
         if worker.faults < FAULTS:
             return not (worker.faults and self.wary and job.job_class.effect is m.Effect.ONCE)
@@ -611,10 +620,10 @@
         # Urgent: fast, and roomy only where most are urgent. Bulk: roomy and slower.
         fast, roomy = (1.0, 1.0 if most_urgent else -1.0) if job.urgent else (-1.0, 1.0)
         ranked: list[tuple[float, int, Worker, bool]] = []
-        drawn = homes or [*self.fresh, *reach.sample(self.rng, SAMPLE, 2)]
+        drawn = [*(homes or [*self.fresh, *reach.sample(self.rng, SAMPLE, 2)]), *self.wards]
         for looked, worker in enumerate(self._open(job, drawn, now)):
-            if homes and looked >= SAMPLE and ranked:
-                break
+            if homes and looked >= SAMPLE and ranked and worker not in self.wards:
+                continue
             warmth = self.members.warmth(worker, now)
             fetch = setup if homes and job.key not in worker.keys and worker not in having else 0.0
             kind = self.book.kind(worker.kind, now)
@@ -625,7 +634,7 @@
             expected = self.book.delay(worker, now, pace) + run
             finish = min(self.margin * expected, left if job.trial else math.inf)
             cost = job.work * job.slots
-            cold = warmth < 1.0 and not self.members.cold_allows(worker, cost, warmth, kind, now)
+            cold = warmth < 1.0 and not self.members.cold_allows(worker, cost, self.book, now)
             if cold or finish > left:
                 continue
             loss = 1.0 - self.book.stability(worker, now) * (1.0 - (finish / left) ** SHARPNESS)
@@ -642,10 +651,7 @@
         return True
 
     def _save(self, job: Job, drawn: list[Worker], now: float) -> None:
-        """Keep an executor free for a wide job that has found no room.
-
-        Guards against wide jobs never being sent: others would take each slot there as it comes free.
-        """
+        """Keep an executor free for a wide job: others would take each slot there as it comes free."""
         if job.slots <= WIDE or len(self.saved) >= SAVED * len(self.members.workers):
             return
         filled = [each for each in dict.fromkeys(drawn) if each.live and not each.overdue]
@@ -661,7 +667,7 @@
         self.moves = min(MOVES, self.moves + MOVED)
         self.held += job.slots
         worker.memory += job.memory
-        worker.cold_sent += job.work * job.slots
+        worker.credit -= job.work * job.slots / self.members.cost
         self.fresh.pop(worker, None)
         if job.key:
             worker.keys.pop(job.key, None)
@@ -791,7 +797,6 @@
             worker.faults += 1
             worker.test_at = now + TEST_AFTER * 2.0 ** max(0, min(worker.faults - FAULTS, 4))
         if outcome is m.Outcome.SERVED:
-            self.members.served[worker.kind].add(now, job.work * job.slots, SKILL_HALF)
             run = now - attempt.started if attempt.started is not None else elapsed
             if job.key:
                 kind = self.book.kind(worker.kind, now)
--- a/burlmoor/learnt.py
+++ b/burlmoor/learnt.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from burlmoor.decide import Dispatcher, Mean, Worker
+from burlmoor.decide import Dispatcher, Worker
+from burlmoor.means import Mean
 
 Figure = tuple[float, float, float]  # of a mean: its total, its weight and its age
 
@@ -20,7 +21,7 @@
     faults: int
     heard: float
     test_in: float
-    cold: tuple[float, float, float]  # its budget's window: the age, what was sent, the draw
+    cold: tuple[float, float]  # what may be sent while it is cold, and the age of that figure
     slow: Figure
     clean: Figure
     delay: Figure
@@ -78,7 +79,7 @@
         faults=worker.faults,
         heard=now - worker.heard,
         test_in=worker.test_at - now,
-        cold=(now - worker.cold_window, worker.cold_sent, worker.cold_draw),
+        cold=(worker.credit, now - worker.credit_at),
         slow=_figure(worker.slow, now),
         clean=_figure(worker.clean, now),
         delay=_figure(worker.delay, now),
@@ -115,8 +116,8 @@
 def _fill_worker(worker: Worker, given: WorkerLearnt, now: float) -> None:
     worker.room, worker.faults = given.room, given.faults
     worker.heard, worker.test_at = now - given.heard, now + given.test_in
-    age, worker.cold_sent, worker.cold_draw = given.cold
-    worker.cold_window = now - age
+    worker.credit, age = given.cold
+    worker.credit_at = now - age
     _fill(worker.slow, given.slow, now)
     _fill(worker.clean, given.clean, now)
     _fill(worker.delay, given.delay, now)
--- a/burlmoor/messages.py
+++ b/burlmoor/messages.py
@@ -141,7 +141,7 @@
     rules: Rules = Rules()
     prices: Prices = Prices()
     zone: str = ""
-    me: int = 0
+    me: int | None = None  # this node's number, below `balancers`
     balancers: int = 1
     must_ask: bool = False  # the list comes only to those who ask
     tick: float = 1.0  # the shortest time between two calls of `handle`
--- a/burlmoor/net/peer.py
+++ b/burlmoor/net/peer.py
@@ -17,7 +17,7 @@
 from burlmoor.net.target_group import HostList
 from burlmoor.operators import ByHandSet
 
-VERSION = 1
+VERSION = 2
 _MESSAGE_LIMIT = 160 * 1024  # a call-back's body is 64 KiB at most; a list is far shorter
 _QUEUE_LIMIT = 2048  # messages that wait to go out: a peer that reads nothing is as good as gone
 _PENDING_LIMIT = 1024  # questions without an answer
--- a/burlmoor/settings.py
+++ b/burlmoor/settings.py
@@ -139,7 +139,7 @@
             late_fail=_or(prices.late_fail, 0.0),
         ),
         zone=_or(given.zone, ""),
-        me=_or(given.me, 0),
+        me=given.me,
         balancers=max(1, _or(given.balancers, 1)),
         must_ask=given.registry_mode == "ask",
         tick=_or(given.tick, 1.0),
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -7,7 +7,8 @@
 import pytest
 
 from burlmoor import messages as m
-from burlmoor.decide import BANDS, Book, Job, Mean, Worker
+from burlmoor.decide import BANDS, Book, Job, Worker
+from burlmoor.means import Mean
 from tests.talk import LOOKUP, Talk, entries, settings
 
 
