Let few nodes plan up to half of a cold executor's budget, and look at homes alone

Few nodes save up and owe few jobs together, so four plan 0.48 of the budget, 40 and more 0.3 as before; the look beside homes is left to fleets where an executor is dealt to few of the nodes.

--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -38,7 +38,7 @@
 TASTE = 0.05  # what a preference among executors weighs beside the chance to be in time
 FETCH = 2.0  # what the share of a slot's time spent fetching a key weighs beside it: others wait meanwhile
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
-CAUTION = 0.3  # the share of a cold executor's budget that all nodes plan to use: 3 times that is the worst
+CAUTION = 0.3  # the share of a cold executor's budget that many nodes plan to use: 3 times is the worst
 LARGE = 2.0  # a cold executor gets no job of more than this many times the mean cost
 MOVES, MOVED = 3.0, 0.03  # moves of jobs that have not started: at once, and by each send
 MOST_KEYS = 1000  # whose homes and shares are kept
@@ -348,10 +348,9 @@
         return low + (1.0 - low) * max(0.0, age) / self.rules.cold
 
     def part(self, worker: Worker, book: Book, now: float) -> tuple[float, float]:
-        """Jobs of mean cost that all nodes may send a cold executor within a window, and this node's of them.
+        """Jobs of mean cost that a cold executor bears within a window, and those that this node may send.
 
-        What it can do once warm is its part of what tenants may send together, by the pace of its kind, or
-        what starts promptly on warm ones. Whole jobs are dealt to the nodes: see docs/design.md.
+        Its part of what tenants may send together, or what starts promptly on warm ones: docs/design.md.
         """
         cost, pace = self.cost, book.kind(worker.kind, now)
         faster = max(0.5, min(1.5, book.fleet_slow.read(now, SKILL_HALF, 1.0) / pace))
@@ -359,22 +358,25 @@
         if not self.planned:
             peers = (each for each in self.live if each.kind == worker.kind)
             able = min((each.room for each in peers if self.warmth(each, now) >= 1.0), default=0.0) / pace
-        able = CAUTION * self.rules.fall_multiple * max(worker.weight, able) * self.warmth(worker, now)
-        rounds, rest = divmod(whole := able * self.rules.fall_window / cost, self.settings.balancers)
-        return whole, 0.0 if self.yielded else rounds + max(0.0, min(1.0, rest - worker.turn))
+        planned = max(CAUTION, 0.5 - 0.005 * self.settings.balancers)  # few nodes save up and owe little
+        able = self.rules.fall_multiple * max(worker.weight, able) * self.warmth(worker, now)
+        budget = able * self.rules.fall_window / cost
+        rounds, rest = divmod(planned * budget, self.settings.balancers)
+        return budget, 0.0 if self.yielded else rounds + max(0.0, min(1.0, rest - worker.turn))
 
     def lent(self, book: Book, now: float) -> list[Worker]:
-        """The cold executors of which this node has a part."""
+        """The cold executors dealt to this node and to less than a tenth of all: few look at them."""
         cold = (each for each in self.live if self.warmth(each, now) < 1.0)
-        return [each for each in cold if self.part(each, book, now)[1] > 0.0]
+        parts = ((each, *self.part(each, book, now)) for each in cold)
+        return [each for each, all_, own in parts if own > 0.0 and 3.0 * all_ < self.settings.balancers]
 
     def cold_allows(self, worker: Worker, cost: float, book: Book, now: float) -> bool:
         """Rule 4, summed over all nodes: each saves up one job at most, and owes one at most."""
-        whole, part = self.part(worker, book, now)
+        budget, part = self.part(worker, book, now)
         gained = part * (now - worker.credit_at) / self.rules.fall_window
         worker.credit, worker.credit_at = min(1.0, worker.credit + gained), now
         jobs = cost / self.cost
-        return part > 0.0 and jobs <= min(LARGE, 0.5 * whole / CAUTION) and worker.credit >= min(1.0, jobs)
+        return part > 0.0 and jobs <= min(LARGE, 0.5 * budget) and worker.credit >= min(1.0, jobs)
 
 
 class Dispatcher:
