--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -249,7 +249,7 @@
     """The executors that may take a job, near ones first, drawn by size; and each key's home among them."""
 
     def __init__(self, workers: Iterable[Worker], zone: str) -> None:
-        usable = [worker for worker in workers if worker.live]
+        usable = list(workers)
         self.near = [worker for worker in usable if worker.zone == zone]
         self.far = [worker for worker in usable if worker.zone != zone]
         if not self.near:
@@ -291,6 +291,7 @@
         self.cost = 1.0  # what a job takes on average: its work times its slots
         # Work a ms, in jobs, that the fleet is there for: what its tenants may send together.
         self.planned = sum(tenant.quota for tenant in settings.tenants) / 1000.0
+        self.caution = max(CAUTION, 0.5 - 0.005 * settings.balancers)  # few nodes save up and owe little
         self.yielded = False  # whether this node's part of the budgets is another process's now
         self._reach: dict[str | None, Reach] = {}
 
@@ -329,7 +330,7 @@
     def reach(self, kind: str | None) -> Reach:
         """The executors for jobs that need this kind (None: any)."""
         if kind not in self._reach:
-            workers = (worker for worker in self.workers.values() if kind in (None, worker.kind))
+            workers = (worker for worker in self.live if kind in (None, worker.kind))
             self._reach[kind] = Reach(workers, self.settings.zone)
         return self._reach[kind]
 
@@ -358,10 +359,9 @@
         if not self.planned:
             peers = (each for each in self.live if each.kind == worker.kind)
             able = min((each.room for each in peers if self.warmth(each, now) >= 1.0), default=0.0) / pace
-        planned = max(CAUTION, 0.5 - 0.005 * self.settings.balancers)  # few nodes save up and owe little
         able = self.rules.fall_multiple * max(worker.weight, able) * self.warmth(worker, now)
         budget = able * self.rules.fall_window / cost
-        rounds, rest = divmod(planned * budget, self.settings.balancers)
+        rounds, rest = divmod(self.caution * budget, self.settings.balancers)
         return budget, 0.0 if self.yielded else rounds + max(0.0, min(1.0, rest - worker.turn))
 
     def lent(self, book: Book, now: float) -> list[Worker]:
@@ -523,10 +523,10 @@
         self.round_at = math.inf
         queue = [job for job in self.waiting.values() if job.waiting and not job.done]
         queue.sort(key=lambda job: job.standing + AGING * job.rounds, reverse=True)
-        faults = [worker.faults for worker in self.members.workers.values() if worker.live]
+        faults = [worker.faults for worker in self.members.live]
         self.wary = 2 * sum(each > 0 for each in faults) <= len(faults)
         self.strict = 2 * sum(each >= FAULTS for each in faults) <= len(faults)
-        room = sum(worker.room for worker in self.members.workers.values() if worker.live)
+        room = sum(worker.room for worker in self.members.live)
         # What all nodes hold, against twice the room that one has learnt: of many, each alone holds little.
         together = self.held * self.settings.balancers / max(1.0, 2.0 * room)
         self.margin = MARGIN + CROWDED * min(1.0, together)
