Pass Idempotency-Key on to executors, and take no keyed job without one

The listener keeps the key in the payload and each forward carries it, whatever the class. Twice, empty, over 255 characters or not printable: 400. A job of a keyed class without a key: 400, since executors could not know its repeat.

--- a/burlmoor/net/forwards.py
+++ b/burlmoor/net/forwards.py
@@ -125,6 +125,8 @@
                 payload: Payload = forward.job.payload
                 left = max(1, int(forward.give_up_at - self._clock()))
                 headers = [("Request-Id", forward.job.id), ("Request-Timeout-Ms", str(left))]
+                if payload.idempotency_key:
+                    headers.append(("Idempotency-Key", payload.idempotency_key))
                 await link.write(payload.method, payload.path, headers, payload.body)
             except NotSent:
                 link.close()
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -9,6 +9,7 @@
 import trio
 
 from burlmoor import core as c
+from burlmoor import messages as m
 from burlmoor.net import callbacks
 from burlmoor.net.listener import (
     CallBack,
@@ -43,7 +44,7 @@
     def __init__(self, front: Front, sock: socket.socket, used: bool = False, age: float = 0.0) -> None:
         self._front = front
         self._stream = Stream(sock, _RING_IN, _RING_OUT)
-        self._http = ListenerConnection(front.classes, front.read_conditions)
+        self._http = ListenerConnection(front.classes, front.read_conditions, front.keyed)
         self._job: c.Job | None = None
         self._scope = trio.CancelScope()
         self._advancing = False
@@ -314,6 +315,7 @@
         say: c.Say,
     ) -> None:
         self.core, self.classes, self.nursery, self.say = core, classes, nursery, say
+        self.keyed = [each.name for each in core.settings.classes if each.effect is m.Effect.KEYED]
         self.size, self.service = size, service
         self.links: set[Link] = set()
         # Set while another process of this node shares its work: where a connection that lies between
--- a/burlmoor/net/listener.py
+++ b/burlmoor/net/listener.py
@@ -25,7 +25,11 @@
 _NO_CONTENT = h11.Response(status_code=204, headers=[])
 _CLOSE_NO_CONTENT = h11.Response(status_code=204, headers=[("Connection", "close")])
 _END = h11.EndOfMessage()
-_SINGLE = frozenset((b"request-id", b"request-timeout-ms", b"tenant", b"work-hint", b"client-retry"))
+# Printable, and short enough to be kept for every job: no publication bounds a key's length.
+_IDEMPOTENCY_KEY = re.compile(r"[\x20-\x7e]{1,255}")
+_SINGLE = frozenset(
+    (b"request-id", b"request-timeout-ms", b"tenant", b"work-hint", b"client-retry", b"idempotency-key")
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +39,7 @@
     method: bytes
     path: bytes
     body: bytes
+    idempotency_key: str = ""  # by which executors know a repeat
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,8 +84,10 @@
 class ListenerConnection:
     """Owns the HTTP state of one accepted connection. One request at a time; the rest waits unread."""
 
-    def __init__(self, classes: Iterable[str], conditions: ReadConditions | None = None) -> None:
-        self._classes = frozenset(classes)
+    def __init__(
+        self, classes: Iterable[str], conditions: ReadConditions | None = None, keyed: Iterable[str] = ()
+    ) -> None:
+        self._classes, self._keyed = frozenset(classes), frozenset(keyed)
         self._conditions = conditions
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=16384)
         self._head: h11.Request | None = None
@@ -194,6 +201,12 @@
         if not 0.0 < extras.get("slots", 1.0) <= _MOST_SLOTS:
             # Guards what is learnt of executors: the module would count so many slots as held there.
             raise _BadHeader("Request-Info: slots cannot be meant")
+        key = given.get(b"idempotency-key")
+        if key is None and parts[1] in self._keyed:
+            # Guards rule 2: executors could not know a repeat of it.
+            raise _BadHeader("Idempotency-Key is missing")
+        if key is not None and not _IDEMPOTENCY_KEY.fullmatch(key):
+            raise _BadHeader("Idempotency-Key is empty, too long or not printable")
         request = m.Request(
             id=0,
             job_class=parts[1],
@@ -205,7 +218,7 @@
             key=parts[-1] if len(parts) > 2 else "",
             retry=given.get(b"client-retry", "") == "1",
         )
-        payload = Payload(head.method, head.target, bytes(self._body))
+        payload = Payload(head.method, head.target, bytes(self._body), key or "")
         read = self._conditions
         conditions = read(head.headers, request_id, len(payload.body)) if read is not None else None
         return JobAsked(request_id, request, payload, conditions)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -143,6 +143,7 @@
             "Request_Id": ref,
             "Request_Timeout_Ms": str(ms),
             "Work_Hint": "90000",
+            **({"Idempotency_Key": f"key-{ref}"} if name == "keyed" else {}),
         }
         await wire.write(f"POST /{name}/0f HTTP/1.1", b"work", **head)
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -18,6 +18,8 @@
     "RequestClasses": [
         {"Name": "lookup", "Credit": 1, "Target": 2500.0, "HardLimit": 5000.0, "Idempotency": "repeatable"},
         {"Name": "once", "Credit": 3, "Target": 2500.0, "HardLimit": 5000.0, "Idempotency": "once"},
+        {"Name": "keyed", "Credit": 2, "Target": 2500.0, "HardLimit": 5000.0, "Idempotency": "by_key",
+         "DedupScope": "all", "RepeatWindow": 15000.0},
     ],
     "Limits": {"SendCap": 4, "Cancel": True, "SecondCopies": True, "ConnectTimeout": 250.0},
     "Rules": {"AnswerSlack": 8.0, "StopSendingWithin": 250.0, "MustAskIn": 10000.0},
@@ -47,7 +49,7 @@
     assert config.load(told).control == ("127.0.0.1", 9901)
     assert config.load({**told, "RELAY_CONTROL": "127.0.0.1:9902"}).control == ("127.0.0.1", 9902)
     assert given.settings.keepalive == 30_000.0
-    assert [each.name for each in given.settings.decisions.classes] == ["lookup", "once"]
+    assert [each.name for each in given.settings.decisions.classes] == ["lookup", "once", "keyed"]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -17,10 +17,11 @@
     b"POST /lookup/00ff?x=1 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: 9b1f\r\nTenant: acme\r\n"
     b"Request-Timeout-Ms: 480\r\nWork-Hint: 12500\r\nRequest-Info: slots=2\r\nContent-Length: 4\r\n\r\nbody"
 )
+KEY = b"Idempotency-Key: 5c0f\r\n"
 
 
 def connection() -> ListenerConnection:
-    return ListenerConnection(["lookup", "once"])
+    return ListenerConnection(["lookup", "once", "keyed"], keyed=["keyed"])
 
 
 def fed(data: bytes, step: int = 1 << 20) -> tuple[ListenerConnection, Asked | None]:
@@ -48,6 +49,13 @@
     assert not http.closing
 
 
+@pytest.mark.parametrize("name", [b"keyed", b"lookup"])
+def test_a_key_is_kept_for_the_executor_whatever_the_class(name: bytes) -> None:
+    _, asked = fed(JOB.replace(b"lookup", name).replace(b"Tenant", KEY + b"Tenant"))
+    assert isinstance(asked, JobAsked)
+    assert asked.payload.idempotency_key == "5c0f"
+
+
 def test_pipelined_requests_wait_for_their_turn() -> None:
     http, first = fed(JOB + JOB.replace(b"9b1f", b"77aa") + b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
     assert isinstance(first, JobAsked)
@@ -76,6 +84,13 @@
         (JOB.replace(b"Request-Id: 9b1f\r\n", b""), 400),
         (JOB.replace(b"9b1f", b"../x"), 400),
         (JOB.replace(b"Tenant: acme", b"Request-Id: 77aa"), 400),
+        (JOB.replace(b"/lookup/", b"/keyed/"), 400),
+        (JOB.replace(b"Tenant: acme", KEY + b"Idempotency-Key: 5c0g"), 400),
+        (JOB.replace(b"Tenant: acme", b"Idempotency-Key:"), 400),
+        (JOB.replace(b"Tenant: acme", b"Idempotency-Key: " + b"5" * 256), 400),
+        (JOB.replace(b"Tenant: acme", b"Idempotency-Key: " + b"5" * 65536), 400),
+        (JOB.replace(b"Tenant: acme", b"Idempotency-Key: 5c\x010f"), 400),
+        (JOB.replace(b"Tenant: acme", b"Idempotency-Key: 5c\xe90f"), 400),
         (JOB.replace(b"480", b"soon"), 400),
         (JOB.replace(b"480", b"0"), 400),
         (JOB.replace(b"480", b"-5"), 400),
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -86,6 +86,22 @@
     play(story)
 
 
+def test_a_key_goes_out_with_every_forward_of_its_job() -> None:
+    async def story(made: Stage) -> None:
+        wire = await made.submit("keyed")
+        await made.until(lambda: len(made.jobs) == 2)
+        await made.tell("done", "second")
+        assert (await made.answer(wire)).body == b"second"
+        assert [job.headers["idempotency-key"] for _, job in made.jobs] == ["key-a1", "key-a1"]
+        wire = await made.submit("lookup", "a2")
+        await made.until(lambda: len(made.jobs) == 3)
+        assert "idempotency-key" not in made.jobs[-1][1].headers
+        await made.tell("done")
+        assert (await made.answer(wire)).status == 200
+
+    play(story, "reset")
+
+
 def test_a_refused_connect_never_ran() -> None:
     async def story(made: Stage) -> None:
         dials, made.dials["e0"] = dict(made.dials), "127.0.0.1:9"
