Admit a job by its chance and by what an executor's time earns; weigh classes by the blend

The peers of the configuration are read and checked; docs/settings.md has a row for every field, held by a test.

--- a/burlmoor/config.py
+++ b/burlmoor/config.py
@@ -37,6 +37,17 @@
     control: str = ""
     limits: _Limits = msgspec.field(default_factory=_Limits)
     known: HostList | None = None
+    peers: dict[str, str] | list[str] | None = None
+    peers_all: str | None = None
+    peer_listen: str | None = None
+
+
+class Peers(NamedTuple):
+    """Where other nodes of the tier are heard and reached by datagrams, where they may be."""
+
+    listen: tuple[str, int]
+    others: tuple[tuple[str, tuple[str, int]], ...]  # by name, or by number where none is given
+    everyone: tuple[str, int] | None  # one address for all of them
 
 
 class Config(NamedTuple):
@@ -53,6 +64,7 @@
     passed: int | None = None  # the descriptor of a socket that listens already
     folder: Path | None = None  # what outlives this process, for the one that comes next
     options: Options | None = None  # what operators have switched on; None: nothing
+    peers: Peers | None = None  # None: nodes don't talk
 
 
 def load(environment: Mapping[str, str], again: bool = False) -> Config:
@@ -97,6 +109,19 @@
         passed=None if not passed or again else _listening(passed),
         folder=Path(folder) if folder else None,
         options=options_from(environment),
+        peers=_peers(given),
+    )
+
+
+def _peers(given: _File) -> Peers | None:
+    """Where other nodes are, or `BadConfig`; None where none may be spoken to."""
+    if not given.peer_listen or not (given.peers or given.peers_all):
+        return None
+    named = given.peers.items() if isinstance(given.peers, dict) else enumerate(given.peers or ())
+    return Peers(
+        _address("peer_listen", given.peer_listen),
+        tuple((str(name), _address(f"peers: {name}", text)) for name, text in named),
+        _address("peers_all", given.peers_all) if given.peers_all else None,
     )
 
 
--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -18,7 +18,9 @@
 from zlib import crc32
 
 from burlmoor import messages as m
+from burlmoor.book import SKILL_HALF, Book, Worker
 from burlmoor.means import Mean
+from burlmoor.worth import Standings
 
 # Weights of priority, P = ALPHA * Tmin/T + BETA * N/Nmax + DELTA * Pgroup, and what a round's wait adds.
 ALPHA, BETA, DELTA, AGING = 1.0, 1.0, 8.0, 0.05
@@ -29,12 +31,12 @@
 SAMPLE = 4  # executors drawn per job, beside as many that had a slot free a moment ago
 KEY_HOMES = 4  # executors that may get a key's jobs: each more of them has to fetch it
 KEY_ROOM = 1.5  # as many times the executors that a key's jobs fill are its homes, where that is more
-BANDS = 5  # complexity classes, by the hint's size against the mean
-SKILL_HALF = 8000.0  # evidence on speed and stability halves in this time
 COST_HALF = 64_000.0  # and on what a job costs: nodes that see few jobs need many to agree on it
 FULL = 0.8  # jobs are refused once what the waiting ones will have taken passes this share of their aims
-MARGIN, CROWDED = 1.1, 0.4  # what an expected time is taken for, and what that grows by as the room fills up
-SHARPNESS = 4.0  # how suddenly the risk of a miss rises as the expected finish nears the aim
+MARGIN = 1.16  # what an expected time is taken for
+LEAST = 0.2  # a place where the chance to be in time is less counts for none
+HOLD = 0.5  # nor does one where it is less than this part of what the fastest kind would give
+GOING = 0.6  # of what an executor's time earns of late a job has to promise, where the fleet is full
 TASTE = 0.05  # what a preference among executors weighs beside the chance to be in time
 FETCH = 2.0  # what the share of a slot's time spent fetching a key weighs beside it: others wait meanwhile
 TRIAL = 0.06  # the share of jobs sent even where they look hopeless, lest a wrong estimate stay for good
@@ -43,7 +45,6 @@
 MOVES, MOVED = 3.0, 0.03  # moves of jobs that have not started: at once, and by each send
 MOST_KEYS = 1000  # whose homes and shares are kept
 MUTE = 3000.0  # an executor that has told nothing for this long may not be working
-FIRST_ROOM = 4.0  # own slots at an executor before its starts tell more: with few, a new node queues up
 FAULTS = 2  # an executor with so many faults in a row is left out, but for a test now and then
 TEST_AFTER = 500.0  # the first test; each that fails doubles the wait for the next, up to 16 times
 SILENCE = 1.5  # an attempt silent for this many progress intervals is taken to hang
@@ -51,27 +52,6 @@
 _FAULTS = (m.Outcome.ERROR, m.Outcome.RESET, m.Outcome.UNREACHABLE)
 
 
-class Worker:
-    """What one node knows of one executor."""
-
-    def __init__(self, entry: m.Entry) -> None:
-        self.entry = entry
-        self.id, self.zone, self.kind = entry.executor, entry.zone, entry.kind
-        self.weight = max(entry.weight, 1e-3)
-        self.mark, self.live = crc32(entry.executor.encode()), entry.state is m.State.LIVE
-        self.slots = self.memory = 0.0  # held by own attempts
-        # Own slots that may be out: prompt starts raise it, late ones lower it.
-        self.room = max(FIRST_ROOM, self.weight)
-        self.heard = -math.inf  # when it last told of a start or progress, or served
-        self.faults, self.test_at = 0, -math.inf  # faults in a row; when it may be tested
-        self.overdue = 0  # own attempts that should have started by now
-        self.slow, self.clean, self.delay = Mean(), Mean(), Mean()
-        self.cells: dict[int, Mean] = defaultdict(Mean)
-        self.keys: dict[str, float] = {}
-        # While it is cold: this node's place in its order of all nodes; what it may send, in mean jobs.
-        self.turn, self.credit, self.credit_at = 0, 1.0, 0.0
-
-
 @dataclass(slots=True)
 class Attempt:
     """One send of a job."""
@@ -84,6 +64,7 @@
     started: float | None = None
     ended: m.Outcome | None = None
     overdue: bool = False
+    expected: float = 0.0  # time from the send to its end
 
 
 class Job:
@@ -97,6 +78,7 @@
         self.aim_at = self.useful_until = self.deadline_at = 0.0  # the second: an answer earns nothing after
         self.attempts: list[Attempt] = []
         self.worth = self.standing = self.rounds = 0.0
+        self.counted = 0.0  # what it is worth to the site, within its tenant's share
         self.waiting = self.urgent = self.trial = self.done = self.streaming = False
         self.share = 0.0  # the part of all jobs that its key has
         self.check_at = 0.0
@@ -165,86 +147,6 @@
                 self.actions.append(m.Cancel(job.id, attempt.number))
 
 
-class Book:
-    """The worker book: learned time, waiting and stability, each falling back worker -> kind -> fleet."""
-
-    def __init__(self, tick: float) -> None:
-        self.tick = tick
-        self.fleet_slow, self.fleet_clean, self.promptness = Mean(), Mean(), Mean()
-        self.kind_slow: dict[str, Mean] = defaultdict(Mean)
-        self.usual_delay: dict[tuple[str, str], Mean] = defaultdict(Mean)
-        self.hit, self.miss = Mean(), Mean()  # what jobs took beyond their time, key at hand or not
-        self.mean_work, self.mean_run = Mean(), Mean()
-        self.prompt: dict[str, float] = {}  # per zone, how soon an idle executor tells of a start
-
-    def pace(self, now: float) -> float:
-        """The half-life of news on load: as long as two jobs run."""
-        return 2.0 * self.mean_run.read(now, SKILL_HALF, 500.0)
-
-    def band(self, work: float, now: float) -> int:
-        """The complexity class of a job, by its hinted work against the mean."""
-        mean = self.mean_work.read(now, SKILL_HALF, work)
-        return max(0, min(BANDS - 1, BANDS // 2 + round(math.log2(max(work, 1e-3) / max(mean, 1e-3)))))
-
-    def kind(self, kind: str, now: float) -> float:
-        """Time taken per unit of hinted work on this kind of executor."""
-        return self.kind_slow[kind].read(now, SKILL_HALF, self.fleet_slow.read(now, SKILL_HALF, 1.0), 2.0)
-
-    def slowness(self, worker: Worker, band: int, kind: float, now: float) -> float:
-        """Time per unit of hinted work at this worker for this complexity class."""
-        return worker.cells[band].read(now, SKILL_HALF, worker.slow.read(now, SKILL_HALF, kind, 2.0), 3.0)
-
-    def delay(self, worker: Worker, now: float, pace: float) -> float:
-        """Expected wait at this worker, from start delays seen there lately, else on its kind in its zone."""
-        usual = self.usual_delay[worker.zone, worker.kind]
-        return worker.delay.read(now, pace, usual.read(now, SKILL_HALF, 0.0))
-
-    def stability(self, worker: Worker, now: float) -> float:
-        """The share of jobs done cleanly here, against the whole fleet's so that none is judged alone."""
-        return worker.clean.read(now, SKILL_HALF, self.fleet_clean.read(now, SKILL_HALF, 1.0, 4.0), 2.0)
-
-    def setup(self, now: float) -> float:
-        """What a job takes longer where its key is not at hand."""
-        return max(0.0, self.miss.read(now, SKILL_HALF, 0.0, 4.0) - self.hit.read(now, SKILL_HALF, 0.0, 4.0))
-
-    def grace(self, zone: str) -> float:
-        """How long a start note may take from an executor with a free slot."""
-        return 4.0 * self.tick + 3.0 * self.prompt.get(zone, 25.0)
-
-    def learn_delay(self, worker: Worker, seen: float, now: float, started: bool = True) -> None:
-        """A start note came (or is overdue) this long after the send."""
-        prompt = self.prompt.get(worker.zone, seen)
-        self.prompt[worker.zone] = min(seen, 1.02 * prompt)  # near the least: queues are not network
-        # One that has not started would have waited longer still: no sign of a wait below what is expected.
-        wait = max(0.0, seen - prompt, 0.0 if started else self.delay(worker, now, self.pace(now)))
-        weight = 1.0 if started else 0.5
-        self.promptness.add(now, float(seen <= self.grace(worker.zone)), SKILL_HALF, weight)
-        if seen > self.grace(worker.zone):
-            worker.room = max(1.0, 0.9 * worker.room)
-        elif worker.slots > worker.room - 1.0:
-            worker.room += 1.0 / worker.room
-        worker.delay.add(now, wait, self.pace(now), weight)
-        self.usual_delay[worker.zone, worker.kind].add(now, wait, SKILL_HALF, weight)
-
-    def learn_run(self, worker: Worker, job: Job, run: float, now: float, weight: float = 1.0) -> float:
-        """A job ran (or by its progress will run) this long; returns how slow that is for its kind."""
-        kind = self.kind(worker.kind, now)
-        # A heavy job is not held against the worker that ran it: what one job can say is bounded.
-        ratio = max(0.25 * kind, min(4.0 * kind, run / max(job.work, 1e-3)))
-        # By work, lest what small jobs take beyond their work make every executor look slow.
-        weight *= min(1.0, job.work / max(self.mean_work.read(now, SKILL_HALF, job.work), 1e-3))
-        band = self.band(job.work, now)
-        for mean in (worker.cells[band], worker.slow, self.kind_slow[worker.kind], self.fleet_slow):
-            mean.add(now, ratio, SKILL_HALF, weight)
-        self.mean_run.add(now, run, SKILL_HALF, weight)
-        return ratio / kind
-
-    def learn_clean(self, worker: Worker, clean: bool, now: float) -> None:
-        """An attempt ended cleanly or not."""
-        worker.clean.add(now, float(clean), SKILL_HALF)
-        self.fleet_clean.add(now, float(clean), SKILL_HALF)
-
-
 class Reach:
     """The executors that may take a job, near ones first, drawn by size; and each key's home among them."""
 
@@ -397,8 +299,9 @@
         self.keyed, self.asked = Mean(), dict[str, Mean]()  # jobs with a key, and by key, the latest last
         self.full_patience = dict.fromkeys(self.classes, 0.0)
         self.class_work = {job_class.name: Mean() for job_class in settings.classes}
-        self.mean_worth, self.costs, self.margin = Mean(), Mean(), MARGIN
-        self.top_worth = 1e-9 + settings.worth_by_work * max(each.worth for each in settings.classes)
+        self.mean_worth, self.costs = Mean(), Mean()
+        self.standings, self.crowd = Standings(settings.blend), 0.0
+        self.top_worth = 1e-9
         self.moves = MOVES  # that are allowed now
         self.held = 0.0  # slots that own attempts hold over the whole fleet
         self.jobs: dict[int, Job] = {}
@@ -486,8 +389,12 @@
         job.worth = job_class.worth * (work if self.settings.worth_by_work else 1.0)
         self.mean_worth.add(now, job.worth, SKILL_HALF)
         within = self._within_share(event.tenant, now)
-        standing = job.worth / work * (within + (1.0 - within) * self.settings.over_share_worth)
-        self.top_worth = max(self.top_worth, standing)
+        share = within + (1.0 - within) * self.settings.over_share_worth
+        job.counted = job.worth * within
+        self.standings.ask(job_class.name, job.counted, now)
+        job.worth *= self.standings.weight(job_class.name, now)
+        standing = job.worth / work * share
+        self.top_worth = max(self._top(now) or self.top_worth, standing)
         haste = min(1.0, self.shortest_aim / max(job.aim, 1.0))
         job.share = self._share(job.key, now)
         job.standing = ALPHA * haste + BETA * within + DELTA * standing / self.top_worth + CLAIM * event.claim
@@ -495,6 +402,13 @@
         self._schedule(job.check_at, job)
         self._wait(job, now, ROUND_TICKS)
 
+    def _top(self, now: float) -> float:
+        """The most that a unit of work can be worth by now; 0 where worth does not go by work."""
+        if not self.settings.worth_by_work:
+            return 0.0
+        weigh = self.standings.weight
+        return max(each.worth * weigh(each.name, now) for each in self.settings.classes)
+
     def _share(self, key: str, now: float) -> float:
         """The part of all jobs that asks for this key, low while few have been seen."""
         if not key:
@@ -529,7 +443,7 @@
         room = sum(worker.room for worker in self.members.live)
         # What all nodes hold, against twice the room that one has learnt: of many, each alone holds little.
         together = self.held * self.settings.balancers / max(1.0, 2.0 * room)
-        self.margin = MARGIN + CROWDED * min(1.0, together)
+        self.crowd = min(1.0, together)
         pace, fleet = self.book.pace(now), self.book.fleet_slow.read(now, SKILL_HALF, 1.0)
         queue = self._shed(queue, fleet, now)
         for job in queue:  # urgent: one more round of waiting would lose its aim
@@ -618,10 +532,13 @@
         band = self.book.band(job.work, now)
         left = max(job.useful_until - now, 1e-3)
         setup = self.book.setup(now) if job.key else 0.0
+        fastest = min((self.book.kind(kind, now) for kind in self.book.kind_slow), default=1.0)
+        hope = self.book.chance(job.job_class.name, MARGIN * fastest * job.work, left, now)
+        going = GOING * self.crowd
         mean_worth = self.mean_worth.read(now, SKILL_HALF, job.worth) / job.worth
         # Urgent: fast, and roomy only where most are urgent. Bulk: roomy and slower.
         fast, roomy = (1.0, 1.0 if most_urgent else -1.0) if job.urgent else (-1.0, 1.0)
-        ranked: list[tuple[float, int, Worker, bool]] = []
+        ranked: list[tuple[float, int, Worker, bool, float, float]] = []
         drawn = [*(homes or [*self.fresh, *reach.sample(self.rng, SAMPLE, 2)]), *self.wards]
         for looked, worker in enumerate(self._open(job, drawn, now)):
             if homes and looked >= SAMPLE and ranked and worker not in self.wards:
@@ -634,22 +551,27 @@
             crowd = (worker.slots + job.slots) / (warmth * worker.room) if warmth < 1.0 else 1.0
             run = job.work * slowness * max(1.0, crowd) + fetch
             expected = self.book.delay(worker, now, pace) + run
-            finish = min(self.margin * expected, left if job.trial else math.inf)
+            chance = self.book.chance(job.job_class.name, MARGIN * expected, left, now)
+            rate = chance * job.worth / run
+            # Guards against late jobs, and against those that take a slot from others who make more of it.
+            poor = chance < max(LEAST, HOLD * hope) or rate < going * self.book.value(worker, now)
             cost = job.work * job.slots
             cold = warmth < 1.0 and not self.members.cold_allows(worker, cost, self.book, now)
-            if cold or finish > left:
+            if cold or (poor and not job.trial):
                 continue
-            loss = 1.0 - self.book.stability(worker, now) * (1.0 - (finish / left) ** SHARPNESS)
+            loss = 1.0 - self.book.stability(worker, now) * chance
             loss += (TASTE + FETCH * fetch / run) * (fetch > 0.0)
             if worker.zone != self.settings.zone:
                 loss += prices.cross_zone * mean_worth
             loss -= TASTE * (fast * min(2.0, job.work / run) + roomy * (1.0 - worker.slots / worker.room))
-            ranked.append((loss, looked, worker, fetch > 0.0))
+            ranked.append((loss, looked, worker, fetch > 0.0, expected, rate))
         if not ranked:
             self._save(job, drawn, now)
             return False
-        _, _, best, fetches = min(ranked)
+        _, _, best, fetches, expected, rate = min(ranked)
+        self.book.learn_value(best, rate, now)
         self._send(job, best, fetches, now)
+        job.attempts[-1].expected = expected
         return True
 
     def _save(self, job: Job, drawn: list[Worker], now: float) -> None:
@@ -758,7 +680,7 @@
         attempt.worker.heard = now
         if attempt.started is not None and event.share > 0.0:
             whole = (now - attempt.started) / min(1.0, event.share)
-            self.book.learn_run(attempt.worker, job, whole, now, 0.5)
+            self.book.learn_run(attempt.worker, job.work, whole, now, 0.5)
 
     def _freed(self, worker: Worker) -> None:
         """A slot there is, or was a moment ago, free: the best that a node can know."""
@@ -799,6 +721,10 @@
             worker.faults += 1
             worker.test_at = now + TEST_AFTER * 2.0 ** max(0, min(worker.faults - FAULTS, 4))
         if outcome is m.Outcome.SERVED:
+            self.book.learn_finish(job.job_class.name, attempt.expected, now - attempt.sent, now)
+            if not job.done:
+                part = 1.0 if now <= job.aim_at else job.job_class.late_worth
+                self.standings.serve(job.job_class.name, part * job.counted, now)
             run = now - attempt.started if attempt.started is not None else elapsed
             if job.key:
                 kind = self.book.kind(worker.kind, now)
@@ -807,7 +733,7 @@
                 if attempt.missed_key:
                     run = max(0.25 * run, run - self.book.setup(now))
             self.class_work[job.job_class.name].add(now, run, SKILL_HALF)
-            slow = self.book.learn_run(worker, job, run, now)
+            slow = self.book.learn_run(worker, job.work, run, now)
             self.book.learn_clean(worker, now <= job.aim_at or slow < 1.5, now)
             if not worker.overdue:
                 self._freed(worker)
--- a/burlmoor/learnt.py
+++ b/burlmoor/learnt.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from burlmoor.decide import Dispatcher, Worker
+from burlmoor.book import Worker
+from burlmoor.decide import Dispatcher
 from burlmoor.means import Mean
 
 Figure = tuple[float, float, float]  # of a mean: its total, its weight and its age
@@ -27,6 +28,7 @@
     delay: Figure
     cells: dict[int, Figure]
     keys: dict[str, float]
+    value: Figure = (0.0, 0.0, 0.0)
 
 
 class Learnt(msgspec.Struct):
@@ -42,9 +44,13 @@
     full_patience: dict[str, float] = {}
     mean_worth: Figure = (0.0, 0.0, 0.0)
     top_worth: float = 0.0
+    kind_value: dict[str, Figure] = {}
+    off: dict[str, tuple[Figure, Figure]] = {}  # by class, and of its square
+    asked: dict[str, Figure] = {}
+    served: dict[str, Figure] = {}
 
 
-_MEANS = ("fleet_slow", "fleet_clean", "promptness", "hit", "miss", "mean_work", "mean_run")
+_MEANS = ("fleet_slow", "fleet_clean", "promptness", "hit", "miss", "mean_work", "mean_run", "fleet_value")
 
 
 def _figure(mean: Mean, now: float) -> Figure:
@@ -70,6 +76,13 @@
         full_patience=dict(node.full_patience),
         mean_worth=_figure(node.mean_worth, now),
         top_worth=node.top_worth,
+        kind_value={kind: _figure(mean, now) for kind, mean in book.kind_value.items()},
+        off={
+            name: (_figure(book.off[name], now), _figure(book.off_square[name], now))
+            for name in list(book.off)
+        },
+        asked={name: _figure(mean, now) for name, mean in node.standings.asked.items()},
+        served={name: _figure(mean, now) for name, mean in node.standings.served.items()},
     )
 
 
@@ -85,6 +98,7 @@
         delay=_figure(worker.delay, now),
         cells={band: _figure(mean, now) for band, mean in worker.cells.items()},
         keys={key: now - at for key, at in worker.keys.items()},
+        value=_figure(worker.value, now),
     )
 
 
@@ -96,6 +110,14 @@
             _fill(getattr(book, name), given.means[name], now)
     for kind, figure in given.kind_slow.items():
         _fill(book.kind_slow[kind], figure, now)
+    for kind, figure in given.kind_value.items():
+        _fill(book.kind_value[kind], figure, now)
+    for name in node.classes.keys() & given.off.keys():
+        _fill(book.off[name], given.off[name][0], now)
+        _fill(book.off_square[name], given.off[name][1], now)
+    for means, figures in ((node.standings.asked, given.asked), (node.standings.served, given.served)):
+        for name in node.classes.keys() & figures.keys():
+            _fill(means.setdefault(name, Mean()), figures[name], now)
     for zone, kind, figure in given.usual_delay:
         _fill(book.usual_delay[zone, kind], figure, now)
     book.prompt.update(given.prompt)
@@ -121,6 +143,7 @@
     _fill(worker.slow, given.slow, now)
     _fill(worker.clean, given.clean, now)
     _fill(worker.delay, given.delay, now)
+    _fill(worker.value, given.value, now)
     for band, figure in given.cells.items():
         _fill(worker.cells[band], figure, now)
     worker.keys = {key: now - age for key, age in given.keys.items()}
--- a/burlmoor/messages.py
+++ b/burlmoor/messages.py
@@ -131,6 +131,14 @@
     late_fail: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Blend:
+    """How much the parts of the result count beside one another."""
+
+    whole: float = 1.0
+    worst_class: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """Everything that a node is told at its start."""
@@ -140,6 +148,7 @@
     limits: Limits = Limits()
     rules: Rules = Rules()
     prices: Prices = Prices()
+    blend: Blend = Blend()
     zone: str = ""
     me: int | None = None  # this node's number, below `balancers`
     balancers: int = 1
--- a/burlmoor/settings.py
+++ b/burlmoor/settings.py
@@ -68,6 +68,11 @@
     late_fail: float | None = None
 
 
+class _Blend(_Table):
+    whole: float | None = None
+    worst_class: float | None = None
+
+
 class _Specifics(_Table):
     class_kind: list[int | None] | None = None
     class_priority: list[int | None] | None = None
@@ -82,6 +87,7 @@
     limits: _Limits | None = None
     rules: _Rules | None = None
     prices: _Prices | None = None
+    blend: _Blend | None = None
     specifics: _Specifics | None = None
     kinds: list[str] | None = None
     zone: str | None = None
@@ -109,6 +115,7 @@
     given = msgspec.convert(options, _Options)
     limits, rules = given.limits or _Limits(), given.rules or _Rules()
     prices, specifics = given.prices or _Prices(), given.specifics or _Specifics()
+    blend = given.blend or _Blend()
     decisions = m.Settings(
         classes=tuple(_classes(given, specifics)),
         tenants=tuple(
@@ -138,6 +145,7 @@
             probe=_or(prices.probe, 0.0),
             late_fail=_or(prices.late_fail, 0.0),
         ),
+        blend=m.Blend(_or(blend.whole, 1.0), _or(blend.worst_class, 0.0)),
         zone=_or(given.zone, ""),
         me=given.me,
         balancers=max(1, _or(given.balancers, 1)),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -52,10 +52,28 @@
     assert [each.name for each in given.settings.decisions.classes] == ["lookup", "once", "keyed"]
 
 
+PEERS = {"peer_listen": "127.0.0.1:9000", "peers_all": "127.0.0.9:9000"}
+
+
+def test_other_nodes_are_read_where_nodes_may_talk(tmp_path: Path) -> None:
+    assert config.load(written(tmp_path)).peers is None
+    assert config.load(written(tmp_path, peer_listen="127.0.0.1:9000")).peers is None
+    for told, name in (({"n2": "127.0.0.2:9000"}, "n2"), (["127.0.0.2:9000"], "0")):
+        peers = config.load(written(tmp_path, peers=told, **PEERS)).peers
+        assert peers is not None
+        assert peers.listen == ("127.0.0.1", 9000)
+        assert peers.everyone == ("127.0.0.9", 9000)
+        assert peers.others == ((name, ("127.0.0.2", 9000)),)
+
+
 @pytest.mark.parametrize(
     ("changes", "field"),
     [
         ({"listen": "nowhere"}, "listen"),
+        ({**PEERS, "peers": {"n2": "nobody"}}, "peers: n2"),
+        ({**PEERS, "peers": ["127.0.0.2:9000", 7]}, "peers"),
+        ({**PEERS, "peers_all": "everyone"}, "peers_all"),
+        ({**PEERS, "peer_listen": "127.0.0.1:99999"}, "peer_listen"),
         ({"discovery": "127.0.0.1:http"}, "discovery"),
         ({"control": "127.0.0.1"}, "control"),
         ({"seed": "seed"}, "seed"),
--- /dev/null
+++ b/tests/test_settings_page.py
@@ -0,0 +1,45 @@
+"""docs/settings.md names every field that the program's own structs read from outside."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from burlmoor import config, settings
+from burlmoor.net import callbacks, target_group
+
+PAGE = (Path(__file__).parent.parent / "docs" / "settings.md").read_text()
+# Every code word in the first column of a table, or in a heading's list of one.
+NAMED = {
+    word
+    for row in PAGE.splitlines()
+    if row.startswith("| ")
+    for word in re.findall(r"[A-Za-z_]+", " ".join(re.findall(r"`([^`]*)`", row.split("|")[1])))
+}
+STRUCTS: list[type[msgspec.Struct]] = [
+    *settings._Table.__subclasses__(),
+    config._File,
+    config._Limits,
+    target_group.HostList,
+    target_group._Host,
+    callbacks._Event,
+]
+
+
+@pytest.mark.parametrize("struct", STRUCTS, ids=lambda struct: struct.__qualname__)
+def test_every_field_has_a_row(struct: type[msgspec.Struct]) -> None:
+    fields = [field.encode_name for field in msgspec.structs.fields(struct)]
+    assert fields
+    assert [name for name in fields if name not in NAMED and name not in HOLDERS] == []
+
+
+# Fields that hold a part of the object: their own fields have the rows.
+HOLDERS = {"RequestClasses", "Orgs", "Limits", "Rules", "Prices", "Blend", "Specifics", "hosts", "limits"}
+
+
+def test_a_field_without_a_row_is_noticed() -> None:
+    assert "Colour" not in NAMED
+    assert {"Credit", "OpenCap", "peer_listen", "born_ms"} <= NAMED
