--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -58,7 +58,8 @@
         rng = random.Random(given.seed + 1)
         # Discovery has connections of its own: forwards that hang must not keep drains from being told.
         self.lists = Pool(self.pool.idle_limit, timeout, _FOR_DISCOVERY)
-        asking = Asking(decisions.balancers, decisions.rules.ask_within / 1000.0, rng)
+        within, pushed = decisions.rules.ask_within / 1000.0, not decisions.must_ask
+        asking = Asking(decisions.balancers, within, rng, pushed)
         self.watch = Watch(self.group, self.lists, given.discovery, asking, log)
         self.core.targets, self.core.target_list = self.forwards, self.watch
         classes = [each.name for each in decisions.classes]
--- /dev/null
+++ b/burlmoor/model/audit.py
@@ -0,0 +1,121 @@
+"""The four rules, judged from what the far sides of a world saw. A node's own word counts for nothing."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+
+from burlmoor import core as c
+from burlmoor import messages as m
+from burlmoor.model.world import DROPPED, Asked, Attempt, World
+
+SLACK = 50.0  # ms beyond each limit, as on sockets
+CHANCE = 1.15  # how far luck may push the work that reaches a cold executor over its budget
+
+
+def audit(world: World) -> list[str]:
+    """Every broken rule, a line each; empty where all hold. The world has run until all is answered."""
+    by_job: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in world.attempts:
+        by_job[attempt.id].append(attempt)
+    classes = {each.name: each for each in world.town.settings.classes}
+    broken = [f"a node failed: {fault}" for fault in world.faults]
+    for row in world.asked.values():
+        attempts = by_job[row.id]
+        broken += _answered(world, row, attempts)
+        broken += _repeated(world.town.settings.limits, classes[row.job_class], row, attempts)
+    return broken + _drained(world) + _pushed_over(world)
+
+
+def _answered(world: World, row: Asked, attempts: list[Attempt]) -> list[str]:
+    if row.died:
+        return []
+    if len(row.answers) != 1:
+        return [f"{row.id}: {len(row.answers)} answers"]
+    at, answer = row.answers[0]
+    broken = []
+    if at > row.sent + row.patience + world.town.settings.rules.answer_slack + SLACK:
+        broken.append(f"{row.id}: answered {at - row.sent - row.patience:.0f} ms late")
+    if isinstance(answer, c.Served):
+        makers = {f"{row.id}@{each.executor}".encode() for each in attempts if each.began is not None}
+        if answer.result not in makers and not (answer.result == DROPPED and makers):
+            broken.append(f"{row.id}: served with what no executor made: {answer.result!r}")
+    return broken
+
+
+def _risky(attempts: list[Attempt], now: float) -> list[Attempt]:
+    """Those that were not proved by then to have never run."""
+    return [each for each in attempts if each.known_at > now or not (each.known and each.known.never_ran)]
+
+
+def _repeated(limits: m.Limits, given: m.JobClass, row: Asked, attempts: list[Attempt]) -> list[str]:
+    broken = []
+    if len(attempts) > limits.attempts:
+        broken.append(f"{row.id}: {len(attempts)} attempts")
+    for number, attempt in enumerate(attempts):
+        risky = _risky(attempts[:number], attempt.sent)
+        out = sum(each.known_at > attempt.sent for each in attempts[:number])
+        if out > limits.second_copies:
+            broken.append(f"{row.id}: {out + 1} attempts out at once")
+        if not risky or given.effect is m.Effect.REPEATABLE:
+            continue
+        if given.effect is m.Effect.ONCE:
+            broken.append(f"{row.id}: sent again though it may have run")
+            continue
+        first = risky[0]
+        near = given.group is m.Group.ALL or first.zone == attempt.zone
+        if given.group is m.Group.CELL:
+            near = near and first.cell == attempt.cell
+        if not near or attempt.sent > first.sent + given.window:
+            broken.append(f"{row.id}: a keyed job was sent again out of its group or its time")
+    runs = sum(each.began is not None for each in attempts)
+    if given.effect is m.Effect.ONCE and runs > 1:
+        broken.append(f"{row.id}: ran {runs} times")
+    harmless = given.effect is m.Effect.REPEATABLE or (
+        given.effect is m.Effect.KEYED and given.group is m.Group.ALL
+    )
+    refused = [at for at, answer in row.answers if isinstance(answer, c.FixedResponse)]
+    if refused and not harmless and _risky(attempts, refused[0]):
+        broken.append(f"{row.id}: refused though it may have run")
+    return broken
+
+
+def _drained(world: World) -> list[str]:
+    """Sends to executors that their node had been told to leave alone."""
+    told: dict[tuple[int, str], list[tuple[float, m.State]]] = defaultdict(list)
+    for at, node, name, state, _ in world.told:
+        told[node, name].append((at, state))
+    broken = []
+    for attempt in world.attempts:
+        since = math.inf
+        for at, state in told[attempt.node, attempt.executor]:
+            if at > attempt.sent:
+                break
+            since = math.inf if state is m.State.LIVE else min(since, at)
+        if attempt.sent > since + world.town.settings.rules.drain_grace + SLACK:
+            broken.append(
+                f"{attempt.id}: sent to {attempt.executor}, which node {attempt.node} knew had left"
+            )
+    return broken
+
+
+def _pushed_over(world: World) -> list[str]:
+    """Cold executors that got more than they bear in some window from nodes that knew of their start."""
+    rules, spec = world.town.settings.rules, world.town.spec
+    known = {(node, name, start): at for at, node, name, _, start in reversed(world.told) if start > 0.0}
+    sent: dict[tuple[str, float], list[Attempt]] = defaultdict(list)
+    for attempt in world.attempts:
+        at = known.get((attempt.node, attempt.executor, attempt.start), math.inf)
+        if attempt.start > 0.0 and at <= attempt.sent < attempt.start + spec.cold_ms:
+            sent[attempt.executor, attempt.start].append(attempt)
+    broken = []
+    for (name, start), attempts in sent.items():
+        for first, attempt in enumerate(attempts):
+            end = attempt.sent + rules.fall_window
+            load = sum(each.cost for each in attempts[first:] if each.sent <= end)
+            warm = min(1.0, spec.cold_share + (1.0 - spec.cold_share) * (end - start) / spec.cold_ms)
+            bears = rules.fall_multiple * spec.cores * spec.speed * warm * rules.fall_window
+            if load > CHANCE * bears:
+                broken.append(f"{name}: {load:.0f} ms of work in a window where it bears {bears:.0f}")
+                break
+    return broken
--- /dev/null
+++ b/burlmoor/model/world.py
@@ -0,0 +1,411 @@
+"""A town of nodes, executors, clients and a list, on one event queue with a virtual clock.
+
+Nodes are the shipped `Core` with its `Dispatcher`; executors are `rig/machine.py`. What the sockets of
+a real node would tell is told here as outcomes, by the protocol's table. Everything is drawn from one
+seed, and the same seed plays the same town. Times are ms. What the far sides saw stands in `Asked` and
+`Attempt`; `audit.py` judges it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from burlmoor import core as c
+from burlmoor import messages as m
+from burlmoor.rig.machine import Machine, Note, Spec
+
+DROPPED = b"dropped"  # stands for the answer to a repeat that executors knew by its key
+
+
+SPEC = Spec(cores=4.0, slots=4, queue=12, cold_share=0.2, cold_ms=4000.0, progress_ms=500.0)
+
+
+@dataclass(frozen=True)
+class Town:
+    """What a town is made of."""
+
+    settings: m.Settings
+    zones: tuple[str, ...] = ("a",)
+    executors: int = 6
+    spec: Spec = SPEC
+    net: float = 2.0  # one way
+    list_delay: tuple[float, float] = (50.0, 400.0)  # until a change is told, drawn for each node
+    cancels: str = "none"  # what giving up frees: `none`, `waiting`, `all`
+    weights: str = "nominal"  # `none`, `nominal`, `live`
+    lost: float = 0.0  # the share of attempts whose end is never told
+    reset: float = 0.0  # the share whose connection breaks after they were taken
+
+
+@dataclass(slots=True)
+class Asked:
+    """A job as its client saw it."""
+
+    id: str
+    job_class: str
+    tenant: str
+    sent: float
+    patience: float
+    work: float
+    node: int
+    answers: list[tuple[float, c.Answer]] = field(default_factory=list)
+    died: bool = False  # its node was killed: nobody owes it anything
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A forward as its executor saw it. `known` is how its end was told to the node, if it was."""
+
+    id: str
+    executor: str
+    zone: str
+    cell: int
+    node: int
+    sent: float
+    cost: float
+    start: float  # when that executor had started; 0: long ago
+    began: float | None = None
+    dropped: bool = False
+    known: m.Outcome | None = None
+    known_at: float = math.inf
+
+
+@dataclass(slots=True)
+class _Stand:
+    entry: m.Entry
+    machine: Machine
+    up: bool = True
+    due: float = math.inf
+    holds: dict[str, tuple[Attempt, c.Forward]] = field(default_factory=dict)
+
+
+class World:
+    """Owns the clock, all parties and their ledgers."""
+
+    def __init__(self, town: Town, seed: int) -> None:
+        self.town, self.rng, self.now = town, random.Random(seed), 1_000_000.0
+        self.asked: dict[str, Asked] = {}
+        self.attempts: list[Attempt] = []
+        self.told: list[
+            tuple[float, int, str, m.State, float]
+        ] = []  # when, to which node, of whom; its start
+        self.faults: list[str] = []  # what nodes said of themselves that must not be
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
+        self.stands: dict[str, _Stand] = {}
+        for number in range(town.executors):
+            self._start(f"x{number}", town.zones[number % len(town.zones)], 0.0)
+        self._seed = seed
+        self.nodes: list[Node | None] = [None] * town.settings.balancers
+        for number in range(town.settings.balancers):
+            self.nodes[number] = Node(self, number, 0)
+
+    # --- the clock ------------------------------------------------------------------------------
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        """Have something happen then, or now if that is past."""
+        self._order += 1
+        heapq.heappush(self._queue, (max(when, self.now), self._order, what))
+
+    def run(self, until: float) -> None:
+        """Let all that is due by then happen."""
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, what = heapq.heappop(self._queue)
+            what()
+        self.now = until
+
+    # --- clients --------------------------------------------------------------------------------
+
+    def ask(self, node: int, job_class: str, work: float, tenant: str = "", hint: float = 1.0) -> None:
+        """A client hands in a job; `hint` is how far its hint of the work is off."""
+        given = next(each for each in self.town.settings.classes if each.name == job_class)
+        ref = f"r{len(self.asked)}"
+        row = Asked(ref, job_class, tenant, self.now, given.deadline, work, node)
+        there = self.nodes[node]
+        if there is None:
+            return  # refused at the door: the client never handed it in
+        self.asked[ref] = row
+        key = f"k{self.rng.randrange(20)}"
+        there.take(row, m.Request(0, job_class, given.deadline, work * hint, tenant=tenant, key=key))
+
+    # --- the list -------------------------------------------------------------------------------
+
+    def entry(self, name: str) -> m.Entry:
+        """An executor as the list has it now."""
+        stand = self.stands[name]
+        cores = self.town.spec.cores
+        weight = {"none": 1.0, "nominal": cores}.get(
+            self.town.weights, cores / (1.0 + stand.machine.held / cores)
+        )
+        return stand.entry._replace(weight=weight)
+
+    def listed(self) -> list[m.Entry]:
+        """The whole list: who has left is not on it."""
+        entries = [self.entry(name) for name in self.stands]
+        return [entry for entry in entries if entry.state is not m.State.GONE]
+
+    def change(self, *names: str) -> None:
+        """Tell every node of these executors, each after a delay of its own."""
+        entries = [self.entry(name) for name in names]
+        for node in self.nodes:
+            if node is not None:
+                self.at(self.now + self.rng.uniform(*self.town.list_delay), lambda n=node: n.hear(entries))  # type: ignore[misc]
+
+    def _start(self, name: str, zone: str, started: float) -> None:
+        number = len(self.stands) if name not in self.stands else self.stands[name].entry.cell
+        entry = m.Entry(name, zone=zone, cell=number // 3, kind=f"kind{number % 2}", started=started)
+        self.stands[name] = _Stand(entry, Machine(self.town.spec, self.now, cold=started > 0.0))
+
+    def drain(self, name: str, for_: float) -> None:
+        """An executor wants nothing new, finishes what it has, and is gone after a while."""
+        stand = self.stands[name]
+        if not stand.up or stand.entry.state is not m.State.LIVE:
+            return
+        stand.entry = stand.entry._replace(state=m.State.DRAINING)
+        self.change(name)
+        for job in stand.machine.hand_back(self.now):
+            self._end(stand, job, m.Outcome.FULL)
+        self.at(self.now + for_, lambda: self.kill(name))
+
+    def kill(self, name: str, again: float = 0.0) -> None:
+        """An executor's process dies with all that it holds; a new one starts after `again`, if set."""
+        stand = self.stands[name]
+        if not stand.up:
+            return
+        stand.up = False
+        stand.entry = stand.entry._replace(state=m.State.GONE)
+        for job in list(stand.holds):
+            self._end(stand, job, m.Outcome.RESET)
+        stand.due = math.inf
+        self.change(name)
+        if again > 0.0:
+            self.at(self.now + again, lambda: self._come_back(name))
+
+    def _come_back(self, name: str) -> None:
+        self._start(name, self.stands[name].entry.zone, self.now)
+        self.change(name)
+
+    def kill_node(self, number: int, again: float) -> None:
+        """A node dies; another life of it starts with the list as it is then."""
+        node = self.nodes[number]
+        if node is None:
+            return
+        node.alive, self.nodes[number] = False, None
+        for row in self.asked.values():
+            if row.node == number and not row.answers:
+                row.died = True
+        self.at(self.now + again, lambda: self._restart(number, node.life + 1))
+
+    def _restart(self, number: int, life: int) -> None:
+        self.nodes[number] = Node(self, number, life)
+
+    # --- executors ------------------------------------------------------------------------------
+
+    def deliver(self, forward: c.Forward, attempt: Attempt) -> None:
+        """A forward's last byte reaches its executor."""
+        stand, row = self.stands[forward.target], self.asked[forward.job.id]
+        if not stand.up:
+            self.tell(forward, attempt, m.Outcome.UNREACHABLE)
+            return
+        seen = self._seen(row, attempt)
+        if seen:
+            attempt.dropped = True
+            self.tell(forward, attempt, m.Outcome.SERVED, DROPPED)
+            return
+        draining = stand.entry.state is not m.State.LIVE
+        if draining or not stand.machine.offer(self.now, row.id, row.work):
+            self.tell(forward, attempt, m.Outcome.FULL)
+            return
+        stand.holds[row.id] = attempt, forward
+        if self.rng.random() < self.town.reset:
+            self.tell(forward, attempt, m.Outcome.RESET)
+        self.look(stand)
+
+    def _seen(self, row: Asked, attempt: Attempt) -> bool:
+        """Whether executors that drop repeats together have begun this keyed job before."""
+        given = next(each for each in self.town.settings.classes if each.name == row.job_class)
+        if given.effect is not m.Effect.KEYED:
+            return False
+        near: dict[m.Group, Callable[[Attempt], bool]] = {
+            m.Group.ALL: lambda _: True,
+            m.Group.ZONE: lambda each: each.zone == attempt.zone,
+            m.Group.CELL: lambda each: each.zone == attempt.zone and each.cell == attempt.cell,
+        }
+        return any(
+            each.began is not None
+            and self.now < each.began + given.window
+            and each.id == row.id
+            and near[given.group](each)
+            for each in self.attempts
+        )
+
+    def give_up(self, forward: c.Forward) -> None:
+        """A node waits for this forward no longer."""
+        stand = self.stands[forward.target]
+        if forward.job.id in stand.holds and self.town.cancels != "none":
+            if stand.machine.drop(self.now, forward.job.id):
+                del stand.holds[forward.job.id]
+            self.look(stand)
+
+    def look(self, stand: _Stand) -> None:
+        """Carry out what has happened at an executor, and plan the next look."""
+        for note in stand.machine.step(self.now):
+            self._note(stand, note)
+        due = stand.machine.due()
+        if due < stand.due or stand.due <= self.now:
+            stand.due = due
+            if due < math.inf:
+                self.at(due, lambda: self._look_again(stand, due))
+
+    def _look_again(self, stand: _Stand, due: float) -> None:
+        if stand.up and stand.due == due:
+            stand.due = math.inf
+            self.look(stand)
+
+    def _note(self, stand: _Stand, note: Note) -> None:
+        attempt, forward = stand.holds.get(note.job, (None, None))
+        if attempt is None or forward is None:
+            return
+        if note.state == "done":
+            self._end(stand, note.job, m.Outcome.SERVED)
+        elif note.state == "started":
+            attempt.began = self.now
+            if self.town.settings.tells_start:
+                self._tell_node(attempt, lambda core: core.started(forward))
+        elif self.town.settings.progress_every > 0.0:
+            self._tell_node(attempt, lambda core: core.progressed(forward, note.share))
+
+    def _end(self, stand: _Stand, job: str, outcome: m.Outcome) -> None:
+        held = stand.holds.pop(job, None)
+        if held is None:
+            return
+        attempt, forward = held
+        if outcome is not m.Outcome.SERVED or self.rng.random() >= self.town.lost:
+            result = f"{job}@{attempt.executor}".encode() if outcome is m.Outcome.SERVED else None
+            self.tell(forward, attempt, outcome, result)
+
+    def tell(
+        self, forward: c.Forward, attempt: Attempt, outcome: m.Outcome, result: bytes | None = None
+    ) -> None:
+        """A node hears how a forward ended, if it lives and still waits for it."""
+
+        def then(core: c.Core) -> None:
+            if attempt.known is None:
+                attempt.known, attempt.known_at = outcome, self.now
+            core.ended(forward, outcome, result)
+
+        self._tell_node(attempt, then)
+
+    def _tell_node(self, attempt: Attempt, what: Callable[[c.Core], None]) -> None:
+        node = self.nodes[attempt.node]
+
+        def then() -> None:
+            if node is not None and node.alive:
+                what(node.core)
+
+        self.at(self.now + self.town.net * self.rng.uniform(0.8, 1.5), then)
+
+
+class Node:
+    """One life of a node: the shipped core, with the world in place of its sockets."""
+
+    def __init__(self, world: World, number: int, life: int) -> None:
+        self.world, self.number, self.life, self.alive = world, number, life, True
+        self._planned = math.inf
+        settings = world.town.settings
+        seed = hash((world._seed, number, life)) & 0xFFFF
+        zone = world.town.zones[number % len(world.town.zones)]
+        given = m.Settings(
+            **{
+                **{name: getattr(settings, name) for name in settings.__dataclass_fields__},
+                "me": number,
+                "zone": zone,
+            }
+        )
+        self.core = c.Core(given, seed, lambda: world.now, self._say, self._wake)
+        self.core.targets = self
+        self.core.target_list = self
+        self.hear(world.listed(), m.Form.CACHED)
+
+    def _say(self, event: str, **fields: Any) -> None:
+        if event in ("module-failed", "action-failed", "answered-at-deadline"):
+            self.world.faults.append(f"{event}: {fields}")
+
+    def _wake(self) -> None:
+        self.world.at(self.world.now, self._step)
+
+    def _step(self) -> None:
+        if not self.alive:
+            return
+        if self.core.due() <= self.world.now:
+            self.core.step()
+        due = self.core.due()
+        if due < math.inf and not self.world.now < self._planned <= due:
+            self._planned = due
+            self.world.at(due, self._step)
+
+    def hear(self, entries: list[m.Entry], form: m.Form = m.Form.CHANGES) -> None:
+        """The list, or changes to it, reaches this node."""
+        if not self.alive:
+            return
+        told = {entry.executor: (entry.state, entry.started) for entry in entries}
+        if form is not m.Form.CHANGES:
+            told = {**{name: (m.State.GONE, 0.0) for name in self.world.stands}, **told}
+        for name, (state, started) in told.items():
+            self.world.told.append((self.world.now, self.number, name, state, started))
+        self.core.listed(form, entries)
+        self._wake()
+
+    def take(self, row: Asked, request: m.Request) -> None:
+        """A client's job comes in."""
+        world = self.world
+
+        class Client:
+            def answer(self, answer: c.Answer) -> None:
+                row.answers.append((world.now, answer))
+
+        self.core.take(Client(), row.id, request, None)
+        self._wake()
+
+    # --- what the core asks of its sockets ------------------------------------------------------
+
+    def send(self, forward: c.Forward) -> None:
+        """Start a forward: on its way for as long as the network takes."""
+        world = self.world
+        stand, row = world.stands[forward.target], world.asked[forward.job.id]
+        entry = stand.entry
+        attempt = Attempt(
+            row.id, entry.executor, entry.zone, entry.cell, self.number, world.now, row.work, entry.started
+        )
+        world.attempts.append(attempt)
+        world.at(world.now + world.town.net, lambda: world.deliver(forward, attempt))
+
+    def abandon(self, forward: c.Forward) -> None:
+        """Give a forward up."""
+        for attempt in reversed(self.world.attempts):
+            if attempt.id == forward.job.id and attempt.executor == forward.target:
+                if attempt.known is None:
+                    attempt.known, attempt.known_at = forward.end, self.world.now
+                break
+        self.world.at(self.world.now + self.world.town.net, lambda: self.world.give_up(forward))
+
+    def probe(self, target: str) -> None:
+        """Look at an executor."""
+        outcome = m.Outcome.SERVED if self.world.stands[target].up else m.Outcome.UNREACHABLE
+        self.world.at(
+            self.world.now + 2.0 * self.world.town.net, lambda: self.core.probed(target, outcome, 4.0)
+        )
+
+    def subscribe(self) -> None:
+        """Changes are told in any case; the call is answered with the list."""
+        world = self.world
+        entries = world.listed()
+        world.at(world.now + world.town.list_delay[0], lambda: self.hear(entries, m.Form.FULL))
+
+    def fetch(self) -> None:
+        """Ask once for the whole list."""
+        self.subscribe()
--- a/burlmoor/net/asking.py
+++ b/burlmoor/net/asking.py
@@ -21,8 +21,10 @@
     call may wait asks at once.
     """
 
-    def __init__(self, balancers: int, ask_within: float, rng: random.Random) -> None:
+    def __init__(self, balancers: int, ask_within: float, rng: random.Random, pushed: bool = False) -> None:
         self._rng = rng
+        # Where lists are pushed, the agent is this machine's alone: there is no queue to spread calls over.
+        balancers = 1 if pushed else balancers
         most = _WITHIN * ask_within
         self.spread = max(0.0, min(most, _A_CALL * balancers - _PATIENCE))
         self._first, self._most = max(_BACKOFF[0], self.spread / 4.0), max(_BACKOFF[1], self.spread)
--- /dev/null
+++ b/tests/model/test_deployments.py
@@ -0,0 +1,188 @@
+"""Deployments that the protocol allows, drawn and played: the shipped core keeps the four rules in each."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from burlmoor import core as c
+from burlmoor import messages as m
+from burlmoor.model.audit import audit
+from burlmoor.model.world import Town, World
+
+LENGTH, TOWN_RATE = 6000.0, 0.7
+
+deployments = st.fixed_dictionaries(
+    {
+        "must_ask": st.booleans(),
+        "cancel": st.sampled_from(["not allowed", "none", "waiting"]),
+        "probes": st.booleans(),
+        "weights": st.sampled_from(["none", "nominal", "live"]),
+        "tells_start": st.booleans(),
+        "progress": st.booleans(),
+        "second_copies": st.booleans(),
+        "attempts": st.integers(1, 5),
+        "zones": st.sampled_from([1, 2, 4]),
+        "tenants": st.booleans(),
+        "nodes": st.sampled_from([1, 2, 4, 40]),
+        "group": st.sampled_from(list(m.Group)),
+        "late_worth": st.booleans(),
+        "blend": st.booleans(),
+        "load": st.sampled_from([0.4, 0.85, 2.5]),
+        "lost": st.sampled_from([0.0, 0.05]),
+        "reset": st.sampled_from([0.0, 0.05]),
+        "replaced": st.sampled_from([0.0, 0.5, 1.0]),
+        "seed": st.integers(0, 999),
+    }
+)
+
+
+def town(d: dict[str, Any]) -> Town:
+    late = 0.5 if d["late_worth"] else 0.0
+    classes = (
+        m.JobClass("plain", 2.0, 300.0, 2.0, 2500.0, m.Effect.REPEATABLE, late_worth=late),
+        m.JobClass("keyed", 5.0, 400.0, 2.0, 3000.0, m.Effect.KEYED, d["group"], 1500.0, late),
+        m.JobClass("once", 3.0, 300.0, 1.75, 4000.0, m.Effect.ONCE, late_worth=late),
+    )
+    tenants = (m.Tenant("big", 0.7, 45.0), m.Tenant("small", 0.3, 20.0)) if d["tenants"] else ()
+    given = m.Settings(
+        classes=classes,
+        tenants=tenants,
+        limits=m.Limits(
+            attempts=d["attempts"], cancel=d["cancel"] != "not allowed", probes=d["probes"],
+            second_copies=d["second_copies"], retry_after=True,
+        ),
+        rules=m.Rules(8.0, 250.0, 0.2, 4000.0, 3.0, 1500.0, 10_000.0),
+        blend=m.Blend(0.4, 0.4) if d["blend"] else m.Blend(),
+        balancers=d["nodes"],
+        must_ask=d["must_ask"],
+        tick=4.0,
+        progress_every=500.0 if d["progress"] else 0.0,
+        tells_start=d["tells_start"],
+        worth_by_work=True,
+        over_share_worth=0.1,
+    )  # fmt: skip
+    return Town(
+        given,
+        zones=tuple("abcd"[: d["zones"]]),
+        cancels="waiting" if d["cancel"] == "waiting" else "none",
+        weights=d["weights"],
+        lost=d["lost"],
+        reset=d["reset"],
+    )
+
+
+def play(d: dict[str, Any]) -> World:
+    """A few seconds of load with executors drained and killed, nodes killed, answers lost."""
+    world = World(town(d), d["seed"])
+    rng, began = random.Random(d["seed"] + 1), world.now
+    works = {"plain": 200.0, "keyed": 250.0, "once": 350.0}
+    rate = d["load"] * 6 * 4 / 250.0  # jobs a ms that six executors of four cores bear
+
+    def arrive() -> None:
+        name = rng.choice(["plain", "plain", "keyed", "keyed", "once"])
+        work = works[name] * rng.lognormvariate(0.0, 0.4)
+        tenant = rng.choice(["big", "big", "small", "else"]) if d["tenants"] else ""
+        world.ask(rng.randrange(d["nodes"]), name, work, tenant, rng.lognormvariate(0.0, 0.2))
+        if world.now < began + LENGTH:
+            world.at(world.now + rng.expovariate(rate), arrive)
+
+    world.at(began, arrive)
+    for number in range(round(6 * d["replaced"])):
+        at, name = began + rng.uniform(500.0, 4000.0), f"x{number}"
+        if number % 2:
+            world.at(at, lambda name=name: world.drain(name, 800.0))  # type: ignore[misc]
+        else:
+            world.at(at, lambda name=name: world.kill(name, 600.0))  # type: ignore[misc]
+    world.at(began + 2500.0, lambda: world.kill_node(0, 700.0))
+    world.run(began + LENGTH + 6000.0)
+    return world
+
+
+PLAIN: dict[str, Any] = {
+    "must_ask": False, "cancel": "none", "probes": False, "weights": "nominal", "tells_start": True,
+    "progress": True, "second_copies": True, "attempts": 3, "zones": 1, "tenants": False, "nodes": 2,
+    "group": m.Group.ALL, "late_worth": False, "blend": True, "load": 0.85, "lost": 0.05,
+    "reset": 0.05, "replaced": 1.0, "seed": 1,
+}  # fmt: skip
+
+
+@settings(max_examples=60)
+@given(deployments)
+@example({**PLAIN, "load": 2.5, "nodes": 40, "zones": 4})
+@example({**PLAIN, "attempts": 1, "cancel": "not allowed", "second_copies": False, "tells_start": False})
+def test_the_rules_hold_in_any_deployment(d: dict[str, Any]) -> None:
+    world = play(d)
+    assert audit(world) == []
+    served = sum(isinstance(row.answers[0][1], c.Served) for row in world.asked.values() if row.answers)
+    assert served > 0.15 * len(world.asked)  # a town that refuses all keeps every rule
+
+
+def test_the_same_seed_plays_the_same_town() -> None:
+    first, second = play(PLAIN), play(PLAIN)
+    assert [(each.id, each.executor, each.sent) for each in first.attempts] == [
+        (each.id, each.executor, each.sent) for each in second.attempts
+    ]
+
+
+def _send_again(world: World) -> None:
+    """Every once job goes out a second time, whatever is known of the first."""
+    for node in world.nodes:
+        assert node is not None
+        node.core._node.gate.may_send = lambda job, worker, now: len(job.attempts) < 3  # type: ignore[method-assign]
+
+
+def _ignore_drains(world: World) -> None:
+    for node in world.nodes:
+        assert node is not None
+        members = node.core._node.members
+
+        def hear(event: m.Members, real: Any = members.update) -> None:
+            if event.form is not m.Form.CHANGES:
+                real(event)
+
+        members.update = hear  # type: ignore[method-assign]
+
+
+def _all_warm(world: World) -> None:
+    for node in world.nodes:
+        assert node is not None
+        node.core._node.members.warmth = lambda worker, now: 1.0  # type: ignore[method-assign]
+
+
+def _forget_answers(world: World) -> None:
+    for node in world.nodes:
+        assert node is not None
+
+        def answer(job: c.Job, answer: c.Answer, real: Any = node.core._answer) -> None:
+            if job.number % 50:
+                real(job, answer)
+
+        node.core._answer = answer  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize(
+    ("fault", "nodes", "said"),
+    [
+        (_send_again, 1, "may have run"),
+        (_ignore_drains, 1, "had left"),
+        (_all_warm, 40, "in a window"),  # together: one alone has no more out than it sees start
+        (_forget_answers, 2, "0 answers"),
+    ],
+)
+def test_the_audit_notices_a_node_that_breaks_a_rule(
+    fault: Any, nodes: int, said: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    original = World.__init__
+
+    def broken(self: World, *given: Any) -> None:
+        original(self, *given)
+        fault(self)
+
+    monkeypatch.setattr(World, "__init__", broken)
+    lines = audit(play({**PLAIN, "nodes": nodes, "load": 2.5, "seed": 3}))
+    assert any(said in line for line in lines), lines[:5]
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -61,6 +61,12 @@
     assert max(asking.after(2000) for _ in range(100)) <= 8.0
 
 
+def test_an_agent_of_ones_own_is_asked_at_once_however_large_the_fleet() -> None:
+    asking = Asking(4000, 10.0, random.Random(1), pushed=True)
+    assert asking.at_start() == 0.0
+    assert max(asking.after(2000) for _ in range(100)) <= 2.0
+
+
 def test_a_watch_waits_its_turn_at_the_start_and_after_each_failure() -> None:
     at: list[float] = []
 
