Ask the book for the fastest kind and a mean for its sum, where both were worked out in place

Need: read once more, the change wrote the decay of Mean out twice in worth.py, the least over all kinds twice in decide.py, and Settings field by field in model/world.py where tests/fleet.py has dataclasses.replace.

Change: Mean.sum and Book.fastest are called in each place; replace is used; what was dead is out. Behaviour is as it was: no check, bound or assertion is touched.

--- a/burlmoor/book.py
+++ b/burlmoor/book.py
@@ -73,6 +73,10 @@
         """Time taken per unit of hinted work on this kind of executor."""
         return self.kind_slow[kind].read(now, SKILL_HALF, self.fleet_slow.read(now, SKILL_HALF, 1.0), 2.0)
 
+    def fastest(self, now: float, unknown: float) -> float:
+        """Time taken per unit of hinted work on the fastest kind; `unknown` where no kind has been met."""
+        return min((self.kind(kind, now) for kind in self.kind_slow), default=unknown)
+
     def slowness(self, worker: Worker, band: int, kind: float, now: float) -> float:
         """Time per unit of hinted work at this worker for this complexity class."""
         return worker.cells[band].read(now, SKILL_HALF, worker.slow.read(now, SKILL_HALF, kind, 2.0), 3.0)
--- a/burlmoor/decide.py
+++ b/burlmoor/decide.py
@@ -465,7 +465,7 @@
 
     def _shed(self, queue: list[Job], fleet: float, now: float) -> list[Job]:
         """Refuse what can no longer count, and under full load the least worth."""
-        best = min((self.book.kind(kind, now) for kind in self.book.kind_slow), default=0.5)
+        best = self.book.fastest(now, 0.5)
         together = max(1.0, self.held, self.members.size / self.settings.balancers)
         kept, extra, ahead, taken, aims = list[Job](), list[Job](), 0.0, 0.0, 0.0
         for job in queue:
@@ -532,7 +532,7 @@
         band = self.book.band(job.work, now)
         left = max(job.useful_until - now, 1e-3)
         setup = self.book.setup(now) if job.key else 0.0
-        fastest = min((self.book.kind(kind, now) for kind in self.book.kind_slow), default=1.0)
+        fastest = self.book.fastest(now, 1.0)
         hope = self.book.chance(job.job_class.name, MARGIN * fastest * job.work, left, now)
         going = GOING * self.crowd
         mean_worth = self.mean_worth.read(now, SKILL_HALF, job.worth) / job.worth
--- a/burlmoor/means.py
+++ b/burlmoor/means.py
@@ -18,6 +18,10 @@
         self.weight = self.weight * keep + weight
         self.at = now
 
+    def sum(self, now: float, half: float) -> float:
+        """All evidence taken in, each piece by what is left of its weight."""
+        return self.total * float(0.5 ** ((now - self.at) / half))
+
     def read(self, now: float, half: float, prior: float, trust: float = 1.0) -> float:
         """The mean, with `prior` counted as `trust` pieces of evidence."""
         keep: float = 0.5 ** ((now - self.at) / half)
--- a/burlmoor/model/world.py
+++ b/burlmoor/model/world.py
@@ -12,7 +12,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from burlmoor import core as c
@@ -35,7 +35,7 @@
     spec: Spec = SPEC
     net: float = 2.0  # one way
     list_delay: tuple[float, float] = (50.0, 400.0)  # until a change is told, drawn for each node
-    cancels: str = "none"  # what giving up frees: `none`, `waiting`, `all`
+    cancels: str = "none"  # what giving up frees: `none` or `waiting`, what has not begun
     weights: str = "nominal"  # `none`, `nominal`, `live`
     lost: float = 0.0  # the share of attempts whose end is never told
     reset: float = 0.0  # the share whose connection breaks after they were taken
@@ -69,7 +69,6 @@
     cost: float
     start: float  # when that executor had started; 0: long ago
     began: float | None = None
-    dropped: bool = False
     known: m.Outcome | None = None
     known_at: float = math.inf
 
@@ -90,9 +89,8 @@
         self.town, self.rng, self.now = town, random.Random(seed), 1_000_000.0
         self.asked: dict[str, Asked] = {}
         self.attempts: list[Attempt] = []
-        self.told: list[
-            tuple[float, int, str, m.State, float]
-        ] = []  # when, to which node, of whom; its start
+        # When, to which node, of whom; its state and start.
+        self.told: list[tuple[float, int, str, m.State, float]] = []
         self.faults: list[str] = []  # what nodes said of themselves that must not be
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
@@ -211,9 +209,7 @@
         if not stand.up:
             self.tell(forward, attempt, m.Outcome.UNREACHABLE)
             return
-        seen = self._seen(row, attempt)
-        if seen:
-            attempt.dropped = True
+        if self._seen(row, attempt):
             self.tell(forward, attempt, m.Outcome.SERVED, DROPPED)
             return
         draining = stand.entry.state is not m.State.LIVE
@@ -316,16 +312,9 @@
     def __init__(self, world: World, number: int, life: int) -> None:
         self.world, self.number, self.life, self.alive = world, number, life, True
         self._planned = math.inf
-        settings = world.town.settings
         seed = hash((world._seed, number, life)) & 0xFFFF
         zone = world.town.zones[number % len(world.town.zones)]
-        given = m.Settings(
-            **{
-                **{name: getattr(settings, name) for name in settings.__dataclass_fields__},
-                "me": number,
-                "zone": zone,
-            }
-        )
+        given = replace(world.town.settings, me=number, zone=zone)
         self.core = c.Core(given, seed, lambda: world.now, self._say, self._wake)
         self.core.targets = self
         self.core.target_list = self
--- a/burlmoor/worth.py
+++ b/burlmoor/worth.py
@@ -51,14 +51,14 @@
     def _work_out(self, now: float) -> dict[str, float]:
         parts = self.blend.whole + self.blend.worst_class
         # All of one age, so that they can be compared.
-        asked = {name: mean.total * 0.5 ** ((now - mean.at) / HALF) for name, mean in self.asked.items()}
+        asked = {name: mean.sum(now, HALF) for name, mean in self.asked.items()}
         total = sum(asked.values())
         if parts <= 0.0 or total <= 0.0:
             return {}
         shares = {}
         for name, worth in asked.items():
             mean = self.served.get(name)
-            served = mean.total * 0.5 ** ((now - mean.at) / HALF) if mean is not None else 0.0
+            served = mean.sum(now, HALF) if mean is not None else 0.0
             prior = TRUST * self.asked[name].total / self.asked[name].weight
             shares[name] = (served + prior) / (worth + prior)
         worst = min(shares.values())
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -199,7 +199,7 @@
 
 def test_a_place_far_worse_than_the_fastest_kinds_is_not_taken_while_there_is_time() -> None:
     # Guards against slow executors that look free drawing what another would finish in time a moment later.
-    slow, fast = entries(1, kind="slow"), [replace_entry(each, "fast") for each in entries(2)[1:]]
+    slow, fast = entries(1, kind="slow"), entries(2, kind="fast")[1:]
     tight = replace(LOOKUP, aim=400.0, stretch=0.0)
     talk = Talk(settings(classes=(tight,)), [*slow, *fast])
     for kind, run, seen in (("slow", 400.0, 20), ("fast", 100.0, 200)):
@@ -216,10 +216,6 @@
     assert [send.executor for send in talk.all(m.Send)] == ["a1"]
 
 
-def replace_entry(entry: m.Entry, kind: str) -> m.Entry:
-    return entry._replace(kind=kind)
-
-
 def test_no_probes_are_bought() -> None:
     # A few of each node are many at an executor that 40 nodes share, and tell no more than starts do.
     limits = m.Limits(attempts=4, cancel=True, probes=True)
