--- a/tests/peers.py
+++ b/tests/peers.py
@@ -170,7 +170,11 @@
 
 @asynccontextmanager
 async def stage(
-    *script: str, sockets: int = 1024, lines: list[str] | None = None, **more: Any
+    *script: str,
+    sockets: int = 1024,
+    lines: list[str] | None = None,
+    given_settings: dict[str, Any] = OPTIONS,
+    **more: Any,
 ) -> AsyncIterator[Stage]:
     """A node that knows two live executors, e0 and e1, playing `script`."""
 
@@ -188,7 +192,8 @@
         discovery = await made.discovery()
         known = msgspec.convert(made.listed(1, e0="active", e1="active"), HostList)
         more = {"control": ("127.0.0.1", 0), **more}
-        given = Config("n0", ("127.0.0.1", 0), discovery, 7, sockets, known, settings_from(OPTIONS), **more)
+        decisions = settings_from(given_settings)
+        given = Config("n0", ("127.0.0.1", 0), discovery, 7, sockets, known, decisions, **more)
 
         async def run(task_status: trio.TaskStatus[None]) -> None:
             # A nursery of its own: a node that stops cancels its nursery, and must not end the story.
