Start hundreds of nodes with faults between them, and judge their spread by the far sides' rows

Need: the operators want load spread evenly by nodes that each see little of it, proven by many processes of the program with faults injected between them. Nothing here started more than two nodes.

Change: rig/fleet/ starts N nodes, stand-in executors, discovery and clients, each with an address of its own in 127/8, so that a link's address names its pair; TCP relays and a switch for datagrams cut, delay, drop, reset, stall, throttle, corrupt, repeat and reorder, processes are killed, stopped and restarted with an old list. Troubles are INI or drawn from a seed and are kept with the run. `burlmoor fleet run | report`, `burlmoor drill spread`, four sabotages. Stand-in clients no longer write to a kept connection that the node has closed.

--- a/burlmoor/cli/drill.py
+++ b/burlmoor/cli/drill.py
@@ -13,13 +13,15 @@
 from rich.console import Console
 from rich.table import Table
 
-from burlmoor.rig.drill import Drill, Verdict
+from burlmoor.rig.drill import Ask, Drill, Verdict
+from burlmoor.rig.drill_spread import SPREAD
 from burlmoor.rig.drill_waiting import WAITING
 
-DRILLS: dict[str, Drill] = {"waiting": WAITING}
+DRILLS: dict[str, Drill] = {"waiting": WAITING, "spread": SPREAD}
 
 
-def _told(verdict: Verdict) -> None:
+def told(verdict: Verdict) -> None:
+    """Print a verdict as a table."""
     table = Table(
         title=f"drill {verdict.drill}, seed {verdict.seed}: {'held' if verdict.held else 'NOT HELD'}"
     )
@@ -39,17 +41,24 @@
     "--seconds", default=60.0, show_default=True, type=click.FloatRange(10.0, 3600.0), help="How long."
 )
 @click.option("--seed", default=1, show_default=True, help="Of all that is drawn.")
+@click.option(
+    "--nodes", default=0, type=click.IntRange(0, 1000), help="How many, where a drill has a choice."
+)
 @click.option("--sabotage", help="A fault of the node, with which the drill must fail.")
 @click.option("--json", "sink", type=click.File("w"), help="Write the verdict there; - is standard output.")
-def drill(name: str, seconds: float, seed: int, sabotage: str | None, sink: IO[str] | None) -> None:
+def drill(
+    name: str, seconds: float, seed: int, nodes: int, sabotage: str | None, sink: IO[str] | None
+) -> None:
     """A subsystem under its failures on loopback, and the verdict: status 1 where a claim did not hold."""
     chosen = DRILLS[name]
     if sabotage is not None and sabotage not in chosen.sabotages:
         known = ", ".join(chosen.sabotages)
         raise click.BadParameter(f"{sabotage!r} is none of: {known}", param_hint="--sabotage")
+    if nodes and not chosen.sized:
+        raise click.BadParameter(f"the drill {name} has its own number", param_hint="--nodes")
     with tempfile.TemporaryDirectory(prefix="burlmoor-") as folder:
-        verdict = trio.run(chosen.run, seconds, seed, sabotage, Path(folder))
-    _told(verdict)
+        verdict = trio.run(chosen.run, Ask(seconds, seed, sabotage, nodes), Path(folder))
+    told(verdict)
     if sink is not None:
         sink.write(json.dumps(verdict.written(), indent=2) + "\n")
     sys.exit(0 if verdict.held else 1)
--- /dev/null
+++ b/burlmoor/cli/fleet.py
@@ -0,0 +1,114 @@
+"""`burlmoor fleet run` and `burlmoor fleet report`."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import IO
+
+import click
+import trio
+from rich.console import Console
+
+from burlmoor.cli.drill import told
+from burlmoor.cli.main import complain
+from burlmoor.rig.drill import Verdict
+from burlmoor.rig.fleet import record as records
+from burlmoor.rig.fleet.run import Fleet
+from burlmoor.rig.fleet.troubles import Schedule, draw, read
+from burlmoor.rig.fleet.verdict import found
+
+
+@click.group()
+def fleet() -> None:
+    """Many node processes on loopback, stand-ins round them, and faults between them."""
+
+
+def _verdict(record: records.Record) -> Verdict:
+    judged = found(record)
+    verdict = Verdict("fleet", record.plan.seed, record.plan.seconds, judged.claims(), judged.figures())
+    for line in judged.audit.broken[:20]:
+        print(f"burlmoor: {line}", file=sys.stderr)
+    return verdict
+
+
+@fleet.command()
+@click.argument("schedule", required=False, type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--nodes", default=20, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--executors", default=20, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(5.0, 3600.0))
+@click.option("--seed", default=1, show_default=True, help="Of all that is drawn.")
+@click.option("--rate", default=150.0, show_default=True, help="Jobs a second, over all nodes.")
+@click.option("--load", default=0.7, show_default=True, help="Of what executors can do.")
+@click.option("--zones", default=1, show_default=True, type=click.IntRange(1, 8))
+@click.option("--hot", default=0.0, show_default=True, help="The share of jobs that one key has.")
+@click.option("--loud", default=1.0, show_default=True, help="How many times its share the first node gets.")
+@click.option(
+    "--troubles", default=0, show_default=True, help="How many to draw, where no SCHEDULE is given."
+)
+@click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="Where to keep the record.")
+@click.option("--json", "sink", type=click.File("w"), help="Write the verdict there; - is standard output.")
+def run(
+    schedule: Path | None,
+    nodes: int,
+    executors: int,
+    seconds: float,
+    seed: int,
+    rate: float,
+    load: float,
+    zones: int,
+    hot: float,
+    loud: float,
+    troubles: int,
+    keep: Path | None,
+    sink: IO[str] | None,
+) -> None:
+    """Play a SCHEDULE of troubles (INI), and say what was found: status 1 where a claim did not hold."""
+    try:
+        wanted = read(schedule.read_text()) if schedule is not None else draw(seed, seconds, troubles)
+    except (ValueError, UnicodeDecodeError) as error:
+        complain([f"{schedule}: {error}"])
+        return
+    plan = records.Plan(
+        nodes,
+        executors,
+        seconds,
+        seed,
+        rate,
+        load,
+        zones,
+        loud=loud,
+        hot=hot,
+        schedule=wanted or Schedule(seed),
+    )
+    console = Console(stderr=True)
+    with tempfile.TemporaryDirectory(prefix="burlmoor-") as folder:
+        played = Fleet(plan, keep or Path(folder), lambda line: console.print(line, style="dim"))
+        record = trio.run(played.run)
+        record.write(keep or Path(folder))
+    verdict = _verdict(record)
+    console.print(f"nodes ready after {record.started:.1f} s; {record.cpus:.1f} cores used", style="dim")
+    told(verdict)
+    if sink is not None:
+        sink.write(json.dumps(verdict.written(), indent=2) + "\n")
+    sys.exit(0 if verdict.held else 1)
+
+
+@fleet.command()
+@click.argument("run", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="The picture; RUN/report.png.")
+def report(run: Path, out: Path | None) -> None:
+    """Draw the record that a RUN has kept, and tell its figures again."""
+    from burlmoor.rig.fleet.report import draw as draw_report  # noqa: PLC0415
+
+    try:
+        record = records.read(run)
+    except ValueError as error:
+        complain([str(error)])
+        return
+    path = out or run / "report.png"
+    draw_report(record, path)
+    told(_verdict(record))
+    print(path)
--- a/burlmoor/cli/main.py
+++ b/burlmoor/cli/main.py
@@ -18,6 +18,7 @@
     "check": "burlmoor.cli.node:check",
     "load": "burlmoor.cli.load:load",
     "drill": "burlmoor.cli.drill:drill",
+    "fleet": "burlmoor.cli.fleet:fleet",
 }
 
 
--- a/burlmoor/rig/clients.py
+++ b/burlmoor/rig/clients.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
 from contextlib import suppress
 
 import trio
@@ -11,15 +13,20 @@
 from burlmoor.rig.ledger import Asked, Ledger
 from burlmoor.rig.wire import Message, Wire, connect
 
+_KEPT = 5.0  # seconds that a connection may lie idle and still be used by clients that do not send again
 _SLACK = 1.0  # seconds beyond its own time for which a client still listens, so that lateness is seen
 
 
 class Clients:
-    """Owns the connections to one node, the freshest idle one last."""
+    """Owns the connections to one node, the freshest idle one last.
 
-    def __init__(self, address: tuple[str, int], ledger: Ledger) -> None:
-        self.address, self._ledger = address, ledger
-        self._idle: list[Wire] = []
+    `resends`: whether a job goes out once more where a kept connection ends without an answer. Where nodes
+    are killed that may run it twice.
+    """
+
+    def __init__(self, address: tuple[str, int], ledger: Ledger, resends: bool = True) -> None:
+        self.address, self._ledger, self._resends = address, ledger, resends
+        self._idle: list[tuple[Wire, float]] = []
 
     async def ask(
         self, asked: Asked, slots: int = 1, key: str = "k", fails: bool = False, tenant: str = ""
@@ -44,22 +51,40 @@
                 with trio.move_on_after((until - now()) / 1000.0 + _SLACK):
                     answer = None
                     for fresh in (False, True):
-                        wire = self._idle.pop() if self._idle and not fresh else await connect(self.address)
+                        wire = self._kept() if not fresh else None
+                        wire = wire or await self._connect(asked, fresh)
                         answer = await self._exchange(wire, asked, key, head, body)
-                        if answer is not None or fresh:
+                        if answer is not None or fresh or not self._resends:
                             break
                         # A node may close a kept connection just as a request crosses: sent once more.
                         wire.stream.socket.close()
                     if answer is not None:
                         self._note(asked, answer)
                         if answer.headers.get("connection") != "close":
-                            self._idle.append(wire)  # type: ignore[arg-type]
+                            self._idle.append((wire, now()))  # type: ignore[arg-type]
                             wire = None
             finally:
                 if wire is not None:
                     wire.stream.socket.close()
         return asked
 
+    def _kept(self) -> Wire | None:
+        """The freshest connection that lies idle."""
+        if not self._idle:
+            return None
+        wire, since = self._idle.pop()
+        if self._resends or (now() - since < _KEPT * 1000.0 and not _ended(wire)):
+            return wire
+        wire.stream.socket.close()
+        return self._kept()
+
+    async def _connect(self, asked: Asked, written: bool) -> Wire:
+        try:
+            return await connect(self.address)
+        except OSError:
+            asked.unsent = not written
+            raise
+
     async def _exchange(
         self, wire: Wire, asked: Asked, key: str, head: dict[str, str], body: bytes
     ) -> Message | None:
@@ -81,6 +106,17 @@
 
     def close(self) -> None:
         """End what lies idle."""
-        for wire in self._idle:
+        for wire, _ in self._idle:
             wire.stream.socket.close()
         self._idle.clear()
+
+
+def _ended(wire: Wire) -> bool:
+    """Whether the other side has closed a connection that lies idle."""
+    with socket.socket(fileno=os.dup(wire.stream.socket.fileno())) as sock:
+        try:
+            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
--- a/burlmoor/rig/drill.py
+++ b/burlmoor/rig/drill.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -49,9 +49,19 @@
         }  # fmt: skip
 
 
+class Ask(NamedTuple):
+    """What a drill is asked to be; `nodes` 0: as many as it has by itself."""
+
+    seconds: float
+    seed: int
+    sabotage: str | None = None
+    nodes: int = 0
+
+
 class Drill(NamedTuple):
     """A drill by name: what it does, and the faults of the node with which it must fail."""
 
     about: str
-    run: Callable[[float, int, str | None, Path], Any]  # seconds, seed, sabotage, folder -> awaitable Verdict
+    run: Callable[[Ask, Path], Awaitable[Verdict]]
     sabotages: Mapping[str, str]
+    sized: bool = False  # whether the number of nodes may be chosen
--- /dev/null
+++ b/burlmoor/rig/drill_spread.py
@@ -0,0 +1,64 @@
+"""The drill of spread: many node processes, each of which sees little, and troubles one after another.
+
+All nodes start at once with the same list. Executors die, nodes are stopped, most are killed at once and
+come back with the old list, executors fail every job at once. Claims are about the far sides' rows alone,
+beside baselines that spread the same jobs on the same executors.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from burlmoor.rig.drill import Ask, Drill, Verdict
+from burlmoor.rig.fleet.record import Plan
+from burlmoor.rig.fleet.run import Fleet, Parts
+from burlmoor.rig.fleet.troubles import Schedule, Trouble
+from burlmoor.rig.fleet.verdict import found
+from burlmoor.rig.sabotage import OF_SPREAD, told
+
+NODES = 12  # where none are asked for
+_A_NODE, _MOST = 3.0, 300.0  # jobs a second for each node, and at all, that this machine bears
+_EXECUTORS, _LEAST = 0.6, 10  # for each node, and at least
+_LOAD = 0.65
+
+
+def troubles(seconds: float, seed: int) -> Schedule:
+    """The same troubles at every size, spread over the run."""
+
+    def at(share: float) -> float:
+        return round(share * seconds, 2)
+
+    return Schedule(
+        seed,
+        (
+            Trouble(what="die", at=at(0.25), lasts=at(0.08), executors="10%", told=1.0),
+            Trouble(what="stop", at=at(0.45), lasts=min(3.0, at(0.08)), nodes="10%"),
+            Trouble(what="kill", at=at(0.6), lasts=at(0.02), nodes="70%"),
+            Trouble(what="fail", at=at(0.8), lasts=at(0.08), executors="5%"),
+        ),
+    )
+
+
+async def _run(ask: Ask, folder: Path) -> Verdict:
+    nodes = ask.nodes or NODES
+    plan = Plan(
+        nodes, max(_LEAST, round(_EXECUTORS * nodes)), ask.seconds, ask.seed,
+        min(_MOST, max(40.0, _A_NODE * nodes)), _LOAD, sabotage=ask.sabotage,
+        schedule=troubles(ask.seconds, ask.seed),
+    )  # fmt: skip
+    parts = Parts() if nodes > 40 else Parts(relays=1, executors=1, clients=1)
+    record = await Fleet(plan, folder, lambda line: print(line, file=sys.stderr)).run(parts)
+    judged = found(record)
+    for line in judged.audit.broken[:20]:
+        print(f"burlmoor: {line}", file=sys.stderr)
+    figures = {**judged.figures(), "start s": record.started, "cores used": record.cpus}
+    return Verdict("spread", ask.seed, ask.seconds, judged.claims(), figures)
+
+
+SPREAD = Drill(
+    "Load spread evenly by many nodes that each see little of it, under failures.",
+    _run,
+    told(OF_SPREAD),
+    sized=True,
+)
--- a/burlmoor/rig/drill_waiting.py
+++ b/burlmoor/rig/drill_waiting.py
@@ -17,11 +17,11 @@
 import numpy as np
 import trio
 
-from burlmoor.rig.drill import Claim, Drill, Verdict
+from burlmoor.rig.drill import Ask, Claim, Drill, Verdict
 from burlmoor.rig.executor import now
 from burlmoor.rig.ledger import Asked, Ledger
 from burlmoor.rig.machine import Spec
-from burlmoor.rig.sabotage import SABOTAGES
+from burlmoor.rig.sabotage import OF_WAITING, told
 from burlmoor.rig.town import KINDS, Kind, Town, capacity, town, unix
 
 _SEARCH, _DETAILS, _CONFIRM = KINDS
@@ -307,22 +307,22 @@
     return got / due if due else math.nan
 
 
-async def _run(seconds: float, seed: int, sabotage: str | None, folder: Path) -> Verdict:
+async def _run(ask: Ask, folder: Path) -> Verdict:
     specs = {f"s-{n}": Spec(cores=_CORES, slots=3, queue=12) for n in range(_EXECUTORS)}
-    plan = _Plan(seconds, seed)
+    plan = _Plan(ask.seconds, ask.seed)
     async with town(folder, specs, nodes=2, options=_OPTIONS, start=False) as made:
-        if sabotage is not None:
+        if ask.sabotage is not None:
             for node in made.nodes:
-                node.command = [sys.executable, "-m", "burlmoor.rig.sabotage", sabotage]
+                node.command = [sys.executable, "-m", "burlmoor.rig.sabotage", ask.sabotage]
         await made.start()
         made.ledger.to_unix = unix() - now()
         run = _Run(made, plan)
         await run.play()
-    return judge(made.ledger, seed, seconds, run.statuses)
+    return judge(made.ledger, ask.seed, ask.seconds, run.statuses)
 
 
 WAITING = Drill(
     "Jobs that wait, under pressure, failures and a planned restart.",
     _run,
-    {name: (act.__doc__ or "").strip() for name, act in SABOTAGES.items()},
+    told(OF_WAITING),
 )
--- a/burlmoor/rig/executor.py
+++ b/burlmoor/rig/executor.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from contextlib import suppress
 
 import trio
@@ -35,6 +36,7 @@
         self._go = trio.Event()
         self._go.set()
         self.acts: list[str] = []  # what the next requests meet: full, error, reset, hang
+        self.failing = False  # whether every job fails at once
         self.born_ms = 0.0
         self.alive = True
         nursery.start_soon(self._work)
@@ -49,6 +51,20 @@
         server = self._servers[node] = Server(serve, self._nursery)
         return await server.open()
 
+    async def listen_to_all(
+        self, address: tuple[str, int], caller: Callable[[str], tuple[str, tuple[str, int]]]
+    ) -> None:
+        """One address for all nodes; `caller` tells from a connection's source who it is, and their relay."""
+
+        async def serve(wire: Wire) -> None:
+            node, relay = caller(wire.stream.socket.getpeername()[0])
+            self._relays[node] = relay
+            await self._serve(node, wire)
+
+        server = self._servers[""] = Server(serve, self._nursery)
+        server.address = address
+        await server.open()
+
     # --- failures -------------------------------------------------------------------------------
 
     def die(self) -> None:
@@ -109,9 +125,13 @@
             self._ledger.strange.append(f"{self.name}: id {ref!r} that no client sent")
             await wire.write("HTTP/1.1 400 Bad" if ref else "HTTP/1.1 404 No id")
             return True
-        row = Ran(ref, message.path.split("/")[1], self.name, now())
+        given = json.loads(message.body)
+        slots = int(given.get("slots", 1))
+        row = Ran(
+            ref, message.path.split("/")[1], self.name, now(), node=node, work=given["work"], slots=slots
+        )
         self._ledger.ran.append(row)
-        act = self.acts.pop(0) if self.acts else ""
+        act = self.acts.pop(0) if self.acts else "error" if self.failing else ""
         if act == "reset":
             row.began = now()  # it may have run
             wire.reset()
@@ -120,11 +140,12 @@
             await trio.sleep_forever()
         if act == "error":
             row.began = row.ended = now()
+            row.end = "error"
             await wire.write("HTTP/1.1 500 Failed")
             return True
-        given = json.loads(message.body)
-        taken = act != "full" and self.machine.offer(now(), ref, given["work"], int(given.get("slots", 1)))
+        taken = act != "full" and self.machine.offer(now(), ref, given["work"], slots)
         if not taken:
+            row.end, row.ended = "full", now()
             await wire.write("HTTP/1.1 503 Full", Not_Started="1")
             return True
         self._of[ref] = (row, node)
--- /dev/null
+++ b/burlmoor/rig/fleet/executors.py
@@ -0,0 +1,95 @@
+"""A share of the stand-in executors, in a process of its own: `python -m burlmoor.rig.fleet.executors`.
+
+Told by a line of JSON, then by a line for each thing that befalls an executor. It ends with its input, and
+writes its ledger when it is told to end.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+import trio
+
+from burlmoor.rig.executor import Executor
+from burlmoor.rig.fleet.places import Ports, ends
+from burlmoor.rig.fleet.places import executor as executor_at
+from burlmoor.rig.fleet.told import first, lines
+from burlmoor.rig.ledger import Asked, Ledger
+from burlmoor.rig.machine import Spec
+
+
+class Plan(msgspec.Struct):
+    """The executors of this process, by number and name."""
+
+    first_port: int
+    specs: dict[str, Spec]
+    numbers: dict[str, int]
+    ledger: str  # where it is written in the end
+
+
+class Order(msgspec.Struct):
+    """What befalls executors."""
+
+    do: Literal["die", "back", "hand_back", "still", "slow", "fail", "end"]
+    names: list[str] = []
+    size: float = 0.0  # slow: how many times slower; still, fail: 1 on, 0 off
+
+
+class _Anybody(dict[str, Asked]):
+    """Clients are in other processes, so any id may be one of theirs."""
+
+    def __contains__(self, key: object) -> bool:
+        return bool(key)
+
+
+async def _obey(order: Order, executors: dict[str, Executor]) -> None:
+    for name in order.names:
+        each = executors[name]
+        if order.do == "die" and each.alive:
+            each.die()
+        elif order.do == "back" and not each.alive:
+            await each.come_back()
+        elif order.do == "hand_back":
+            await each.hand_back()
+        elif order.do == "still":
+            each.stall(order.size > 0.0)
+        elif order.do == "slow":
+            each.slow(max(1.0, order.size))
+        elif order.do == "fail":
+            each.failing = order.size > 0.0
+
+
+async def serve(plan: Plan) -> None:
+    """Run the executors until the input ends, or they are told to end."""
+    ports = Ports(plan.first_port)
+
+    def caller(source: str) -> tuple[str, tuple[str, int]]:
+        return str(ends(source)[0]), (source, ports.backwards)
+
+    async with trio.open_nursery() as nursery:
+        ledger = Ledger(asked=_Anybody())
+        executors = {name: Executor(name, spec, ledger, nursery) for name, spec in plan.specs.items()}
+        for name, each in executors.items():
+            await each.listen_to_all((executor_at(plan.numbers[name]), ports.jobs), caller)
+        print("{}", flush=True)
+        async for line in lines():
+            order = msgspec.json.decode(line, type=Order)
+            if order.do == "end":
+                Path(plan.ledger).write_bytes(msgspec.json.encode(ledger.ran))
+                print("{}", flush=True)
+                break
+            await _obey(order, executors)
+        nursery.cancel_scope.cancel()
+
+
+def main() -> int:
+    """Run until standard input ends; the exit status."""
+    trio.run(serve, msgspec.json.decode(first(), type=Plan))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/burlmoor/rig/fleet/places.py
@@ -0,0 +1,106 @@
+"""Who has which address: nodes, executors and the link between each two have places of their own in 127/8.
+
+A node dials an executor at the address of their link, on which a relay listens; the relay goes on from that
+same address, so that the executor knows who called, and calls back to it on another port. Links between two
+nodes are used alike for datagrams. No list of pairs is kept anywhere: an address says whose it is.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import socket
+from contextlib import ExitStack
+from typing import NamedTuple
+
+MOST = 2048  # nodes, and executors: 11 bits of a link's address each
+_NODES, _EXECUTORS, _LINKS = 0x7F010000, 0x7F020000, 0x7F400000
+_PORTS = 8
+
+
+def _written(number: int) -> str:
+    return str(ipaddress.IPv4Address(number))
+
+
+def node(number: int) -> str:
+    """The address that a node listens on."""
+    return _written(_NODES + number + 1)
+
+
+def executor(number: int) -> str:
+    """The address that an executor listens on."""
+    return _written(_EXECUTORS + number + 1)
+
+
+def link(of_node: int, to: int) -> str:
+    """The address of the link between a node and an executor, or another node."""
+    return _written(_LINKS + of_node * MOST + to)
+
+
+def ends(address: str) -> tuple[int, int]:
+    """Whose link an address is: the node, and the executor or other node; ValueError where it is none."""
+    number = int(ipaddress.IPv4Address(address)) - _LINKS
+    if not 0 <= number < MOST * MOST:
+        raise ValueError(f"{address} is no link's address")
+    return divmod(number, MOST)
+
+
+class Ports(NamedTuple):
+    """The ports of one fleet, alike at all addresses."""
+
+    first: int
+
+    @property
+    def clients(self) -> int:
+        """Where nodes take jobs and call-backs."""
+        return self.first
+
+    @property
+    def control(self) -> int:
+        """Where nodes hear their operators."""
+        return self.first + 1
+
+    @property
+    def jobs(self) -> int:
+        """Where executors listen."""
+        return self.first + 2
+
+    @property
+    def forwards(self) -> int:
+        """Where the relays take what nodes send to executors."""
+        return self.first + 3
+
+    @property
+    def backwards(self) -> int:
+        """Where the relays take call-backs."""
+        return self.first + 4
+
+    @property
+    def datagrams(self) -> int:
+        """Where the switch takes what nodes send each other."""
+        return self.first + 5
+
+    @property
+    def peers(self) -> int:
+        """Where nodes take other nodes' datagrams."""
+        return self.first + 6
+
+
+def local(sock: socket.socket) -> None:
+    """Bind a socket that is to listen on every address to the loopback device: nothing else reaches it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, b"lo")
+
+
+def free_ports() -> Ports:
+    """A row of ports that nobody on loopback listens on now; OSError where none is found."""
+    for first in range(20_000, 30_000, _PORTS):
+        with ExitStack() as held:
+            try:
+                for port in range(first, first + _PORTS):
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        sock = held.enter_context(socket.socket(socket.AF_INET, kind))
+                        local(sock)
+                        sock.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+            return Ports(first)
+    raise OSError("no row of free ports on loopback")
--- /dev/null
+++ b/burlmoor/rig/fleet/run.py
@@ -0,0 +1,363 @@
+"""One run: processes started, troubles caused in their time, ledgers gathered, everything ended."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+import psutil
+import trio
+
+from burlmoor.rig.discovery import Discovery
+from burlmoor.rig.executor import now
+from burlmoor.rig.fleet import clients, executors, places, relay
+from burlmoor.rig.fleet.children import Child
+from burlmoor.rig.fleet.load import Load, mean_cost
+from burlmoor.rig.fleet.record import Plan, Record, Span, Used
+from burlmoor.rig.fleet.troubles import DISCOVERY, EXECUTORS, LINK, NODES, Trouble, chosen, effects
+from burlmoor.rig.ledger import Asked, Ran
+from burlmoor.rig.node import call
+from burlmoor.rig.town import KINDS, capacity, fleet, settings
+
+_READY, _PARTY = 90.0, 20.0  # seconds until all nodes, and any other party, must be up
+_LEAD = 1.0  # seconds from when all are ready until the load begins
+_AFTER = 2.0  # seconds beyond the longest patience until clients must be done
+_STOP = 15.0  # seconds that nodes have to end in
+
+
+class Parts(msgspec.Struct):
+    """How many processes of each sort stand round the nodes."""
+
+    relays: int = 2
+    executors: int = 3
+    clients: int = 2
+
+
+class Fleet:
+    """Owns all processes of one run. `say` hears a line of progress at a time."""
+
+    def __init__(self, plan: Plan, folder: Path, say: Callable[[str], None] = lambda _: None) -> None:
+        self.plan, self._folder, self._say = plan, folder, say
+        folder.mkdir(parents=True, exist_ok=True)
+        self.ports = places.free_ports()
+        specs = fleet(plan.executors)
+        scale = plan.load * capacity(specs) * 1000.0 / (plan.rate * mean_cost())
+        load = Load(plan.rate, plan.seconds, plan.nodes, plan.seed, scale, plan.skew, plan.loud, plan.hot)
+        zones = "abcdefgh"[: plan.zones]
+        self.record = Record(
+            plan, load, specs,
+            [zones[n % plan.zones] for n in range(plan.nodes)],
+            [zones[n % plan.zones] for n in range(plan.executors)],
+            0.0,
+        )  # fmt: skip
+        self._names = [f"n{number:03d}" for number in range(plan.nodes)]
+        self._numbers = {name: number for number, name in enumerate(specs)}
+        self._nodes: dict[int, Child] = {}
+        self._away: set[int] = set()  # nodes that were ended on purpose
+        self._parties: dict[str, list[Child]] = {"relay": [], "switch": [], "executors": [], "clients": []}
+        self._known = ""
+        self._discovery: Discovery
+        self._addresses: list[str] = []
+
+    async def run(self, parts: Parts | None = None) -> Record:
+        """Play the whole run; the record. Everything is over when it returns, whatever it returns with."""
+        parts = parts or Parts()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._discovery = Discovery(nursery)
+                await self._stand_ins(parts)
+                began = time.monotonic()
+                await self._start_nodes(range(self.plan.nodes))
+                self.record.started = time.monotonic() - began
+                self._say(f"{self.plan.nodes} nodes ready after {self.record.started:.1f} s")
+                await self._play(nursery, parts)
+                await self._gather(parts)
+                nursery.cancel_scope.cancel()
+        finally:
+            with trio.CancelScope(shield=True):
+                for child in self._children():
+                    await child.end()
+        return self.record
+
+    def _children(self) -> Iterable[Child]:
+        yield from self._nodes.values()
+        for party in self._parties.values():
+            yield from party
+
+    # --- starting -------------------------------------------------------------------------------
+
+    def _party(self, sort: str, module: str, plan: msgspec.Struct) -> Child:
+        number = len(self._parties[sort])
+        child = Child(
+            ["-m", f"burlmoor.rig.fleet.{module}"], self._folder / f"{sort}-{number}.log", talks=True
+        )
+        self._parties[sort].append(child)
+        child.tell(plan)
+        return child
+
+    async def _stand_ins(self, parts: Parts) -> None:
+        record, first = self.record, self.ports.first
+        for number in range(parts.relays):
+            self._party("relay", "relay", relay.Plan(first, self.plan.seed * 10 + number))
+        if any(trouble.peers for trouble in self.plan.schedule.troubles):
+            self._party("switch", "switch", relay.Plan(first, self.plan.seed))
+        names, shares = record.names(), max(1, min(parts.executors, self.plan.executors))
+        for number in range(shares):
+            own = {name: record.specs[name] for name in names[number::shares]}
+            ledger = str(self._folder / f"ran-{number}.json")
+            self._party("executors", "executors", executors.Plan(first, own, self._numbers, ledger))
+        for sort in ("relay", "switch", "executors"):
+            for child in self._parties[sort]:
+                if not await child.said(_PARTY):
+                    raise RuntimeError(f"a process of {sort} did not start; its log is in {self._folder}")
+        for number, name in enumerate(self._names):
+            dials = {n: f"{places.link(number, e)}:{self.ports.forwards}" for n, e in self._numbers.items()}
+            self._addresses.append(await self._discovery.listen(name, dials))
+        for name, zone in zip(names, record.executor_zones, strict=True):
+            self._discovery.tell(name, site=zone)
+
+    def _start_node(self, number: int) -> None:
+        name, folder = self._names[number], self._folder / self._names[number]
+        folder.mkdir(exist_ok=True)
+        ports, here = self.ports, places.node(number)
+        zone = self.record.node_zones[number]
+        given = {
+            "name": name, "listen": f"{here}:{ports.clients}", "control": f"{here}:{ports.control}",
+            "discovery": self._addresses[number], "seed": f"{self.plan.seed:04x}{number:04x}",
+            "settings": {**settings(KINDS, self.plan.nodes, zone), "Me": number},
+            # A restart goes on from the list as it was when the run began.
+            "known": self._known_to(name), "limits": {"sockets": 1024},
+        }  # fmt: skip
+        path = folder / "config.json"
+        path.write_text(json.dumps(given))
+        kept = {key: text for key, text in os.environ.items() if not key.startswith(("RELAY_", "BURLMOOR_"))}
+        sabotage = self.plan.sabotage
+        command = ["-m", "burlmoor"] if sabotage is None else ["-m", "burlmoor.rig.sabotage", sabotage]
+        environment = {**kept, "RELAY_CONFIG": str(path), "TMPDIR": str(folder)}
+        self._nodes[number] = Child(command, folder / "log", environment)
+        self._away.discard(number)
+
+    def _known_to(self, name: str) -> object:
+        if not self._known:
+            self._known = json.dumps(self._discovery.whole(name))
+        told = json.loads(self._known)
+        dials = self._discovery.whole(name)["hosts"]
+        at = {each["host"]: each["dial"] for each in dials}
+        for each in told["hosts"]:
+            each["dial"] = at.get(each["host"], each["dial"])
+        return told
+
+    async def _start_nodes(self, numbers: Iterable[int]) -> None:
+        """Start nodes all at once, and wait until each takes jobs."""
+        numbers = list(numbers)
+        for number in numbers:
+            self._start_node(number)
+        with trio.fail_after(_READY):
+            async with trio.open_nursery() as nursery:
+                for number in numbers:
+                    nursery.start_soon(self._until_ready, number)
+
+    async def _until_ready(self, number: int) -> None:
+        address = (places.node(number), self.ports.clients)
+        while True:
+            with suppress(OSError):
+                if (await call(address, "GET", "/health/ready")).status == 200:
+                    return
+            if not self._nodes[number].running and number not in self._away:
+                raise RuntimeError(
+                    f"{self._names[number]} ended with {self._nodes[number].status}; "
+                    f"its log is in {self._folder / self._names[number]}"
+                )
+            await trio.sleep(0.2)
+
+    # --- the load and the troubles --------------------------------------------------------------
+
+    async def _play(self, nursery: trio.Nursery, parts: Parts) -> None:
+        record = self.record
+        record.begin = now() + _LEAD * 1000.0
+        for part in range(parts.clients):
+            ledger = str(self._folder / f"asked-{part}.json")
+            plan = clients.Plan(self.ports.first, record.load, part, parts.clients, record.begin, ledger)
+            self._party("clients", "clients", plan)
+        await trio.sleep(_LEAD)
+        psutil.cpu_percent()
+        async with trio.open_nursery() as troubles:
+            for trouble in self.plan.schedule.troubles:
+                troubles.start_soon(self._cause, trouble)
+            troubles.start_soon(self._change_links)
+            for second in range(int(self.plan.seconds)):
+                await self._until(second + 1.0)
+                if (second + 1) % 10 == 0:
+                    self._say(f"{second + 1} of {self.plan.seconds:.0f} s")
+        record.cpus = psutil.cpu_percent() / 100.0 * (psutil.cpu_count() or 1)
+        patience = max(kind.patience for kind in KINDS) / 1000.0
+        for child in self._parties["clients"]:
+            if not await child.said(patience + _AFTER + 10.0):
+                raise RuntimeError(f"clients did not finish ({child.status}); their log is in {self._folder}")
+
+    async def _until(self, at: float) -> None:
+        await trio.sleep(max(0.0, (self.record.begin - now()) / 1000.0 + at))
+
+    async def _cause(self, trouble: Trouble) -> None:
+        what = trouble.what
+        seed, record = self.plan.schedule.seed, self.record
+        nodes = chosen(self._names, record.node_zones, trouble.nodes, seed)
+        hosts = chosen(record.names(), record.executor_zones, trouble.executors, seed)
+        if what in LINK:
+            until = record.begin + trouble.until * 1000.0
+            record.spans.append(Span(what, "links", record.begin + trouble.at * 1000.0, until))
+            return
+        one: Callable[[Trouble, int], Awaitable[None]]
+        if what in NODES:
+            one, numbers = self._node_trouble, nodes
+        elif what in EXECUTORS:
+            one, numbers = self._executor_trouble, hosts
+        else:
+            assert what in DISCOVERY
+            one, numbers = self._discovery_trouble, nodes
+        async with trio.open_nursery() as nursery:
+            for place, number in enumerate(numbers):
+                wait = trouble.over * place / len(numbers)
+                moved = msgspec.structs.replace(trouble, at=trouble.at + wait)
+                nursery.start_soon(one, moved, number)
+
+    async def _node_trouble(self, trouble: Trouble, number: int) -> None:
+        await self._until(trouble.at)
+        since, child = now(), self._nodes[number]
+        span = Span(trouble.what, self._names[number], since, since + trouble.lasts * 1000.0)
+        self.record.spans.append(span)
+        if trouble.what == "stop":
+            child.signal(signal.SIGSTOP)
+            await self._until(trouble.until)
+            child.signal(signal.SIGCONT)
+        else:
+            self._away.add(number)
+            child.signal(signal.SIGKILL if trouble.what == "kill" else signal.SIGTERM)
+            if not await child.ended(_STOP):
+                self.record.ended[f"{self._names[number]} on {trouble.what}"] = 1
+                child.signal(signal.SIGKILL)
+                await child.ended(5.0)
+            if trouble.what == "term" and child.status:
+                self.record.ended[f"{self._names[number]} on term"] = child.status
+            await self._until(trouble.until)
+            self._start_node(number)
+            with trio.move_on_after(_READY):
+                await self._until_ready(number)
+        span.until = now()
+
+    async def _executor_trouble(self, trouble: Trouble, number: int) -> None:
+        await self._until(trouble.at)
+        name, since, what = self.record.names()[number], now(), trouble.what
+        span = Span(what, name, since, since + trouble.lasts * 1000.0)
+        self.record.spans.append(span)
+        if what in ("die", "drain"):
+            if what == "drain":
+                self._discovery.tell(name, health="leaving")
+                await trio.sleep(0.1)
+                self._order("hand_back", name)
+                await self._until(trouble.until)
+            self._order("die", name)
+            if what == "die":
+                await trio.sleep(trouble.told)
+                self._discovery.tell(name, health="left")
+                await self._until(trouble.until)
+            self._order("back", name)
+            self._discovery.tell(name, health="active", born_ms=time.time() * 1000.0)
+        else:
+            self._order(what, name, max(1.0, trouble.size))
+            await self._until(trouble.until)
+            self._order(what, name, 0.0)
+        span.until = now()
+
+    def _order(self, do: str, name: str, size: float = 0.0) -> None:
+        order = msgspec.convert({"do": do, "names": [name], "size": size}, executors.Order)
+        party = self._parties["executors"]
+        party[self._numbers[name] % len(party)].tell(order)
+
+    async def _discovery_trouble(self, trouble: Trouble, number: int) -> None:
+        await self._until(trouble.at)
+        name, since = self._names[number], now()
+        self.record.spans.append(Span(trouble.what, name, since, since + trouble.lasts * 1000.0))
+        if trouble.what == "late":
+            self._discovery.late[name] = trouble.size
+            await self._until(trouble.until)
+            self._discovery.late.pop(name, None)
+        else:
+            self._discovery.down = True
+            await self._until(trouble.until)
+            self._discovery.down = False
+
+    async def _change_links(self) -> None:
+        schedule, record = self.plan.schedule, self.record
+        links = [each for each in schedule.troubles if each.what in LINK]
+        sides = (self._names, record.node_zones), (record.names(), record.executor_zones)
+        for at in sorted({t for each in links for t in (each.at, each.until)}):
+            await self._until(at)
+            for sort, between in (("relay", False), ("switch", True)):
+                told = effects(schedule, at, *sides, between_nodes=between)
+                for child in self._parties[sort]:
+                    child.tell(told)
+
+    # --- ending ---------------------------------------------------------------------------------
+
+    async def _gather(self, parts: Parts) -> None:
+        record = self.record
+        for number, child in self._nodes.items():
+            name = self._names[number]
+            if not child.running:
+                record.ended[name] = child.status or 0
+                continue
+            with suppress(psutil.Error):
+                process = psutil.Process(child.pid)
+                times = process.cpu_times()
+                record.used[name] = Used(times.user + times.system, process.memory_info().rss)
+        for child in self._parties["executors"]:
+            child.tell(executors.Order("end"))
+        for child in self._parties["executors"]:
+            if not await child.said(_PARTY):
+                raise RuntimeError(f"executors did not write their ledger; their log is in {self._folder}")
+        for child in self._nodes.values():
+            child.signal(signal.SIGTERM)
+        async with trio.open_nursery() as nursery:
+            for number in self._nodes:
+                nursery.start_soon(self._stopped, number)
+        record.heard = list(self._discovery.heard)
+        for path in sorted(self._folder.glob("ran-*.json")):
+            record.ran += msgspec.json.decode(path.read_bytes(), type=list[Ran])
+            path.unlink()
+        for path in sorted(self._folder.glob("asked-*.json")):
+            told = msgspec.json.decode(path.read_bytes(), type=_Answers)
+            record.asked += told.asked
+            record.behind = max(record.behind, told.behind)
+            path.unlink()
+
+    async def _stopped(self, number: int) -> None:
+        child, name = self._nodes[number], self._names[number]
+        if not await child.ended(_STOP):
+            self.record.ended[f"{name} at the end"] = 1
+        elif child.status:
+            self.record.ended.setdefault(name, child.status)
+
+
+class _Answers(msgspec.Struct):
+    asked: list[Asked]
+    behind: float
+
+
+def main() -> int:
+    """A small run by hand, for a look at the rig itself; the exit status."""
+    plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
+    record = trio.run(Fleet(plan, Path(sys.argv[1]), lambda line: print(line, file=sys.stderr)).run)
+    record.write(Path(sys.argv[1]))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/burlmoor/rig/fleet/told.py
@@ -0,0 +1,35 @@
+"""What parties in processes of their own are told: lines on standard input, until it ends."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import AsyncIterator
+
+import trio
+
+
+async def lines() -> AsyncIterator[bytes]:
+    """Each line that comes; the end of input ends it.
+
+    Nothing else may read standard input, and the first line is to be read with `first` alone: a buffer
+    under it would keep what came along.
+    """
+    stream = trio.lowlevel.FdStream(sys.stdin.fileno())
+    buffer = b""
+    while data := await stream.receive_some(65_536):
+        *whole, buffer = (buffer + data).split(b"\n")
+        for line in whole:
+            if line.strip():
+                yield line
+
+
+def first() -> bytes:
+    """The first line, read byte by byte so that none of the second is taken along."""
+    line = b""
+    while not line.endswith(b"\n"):
+        byte = os.read(sys.stdin.fileno(), 1)
+        if not byte:
+            break
+        line += byte
+    return line
--- a/burlmoor/rig/ledger.py
+++ b/burlmoor/rig/ledger.py
@@ -23,6 +23,9 @@
     body: bytes = b""
     left: float | None = None  # when its client went away, if it did
     node: int = 0  # where it was asked
+    slots: int = 1
+    unsent: bool = False  # whether its node took no connection, so that nobody has it
+    moves: int = 0  # how often the front had to try another node, because one did not take connections
 
     @property
     def served(self) -> bool:
@@ -50,7 +53,10 @@
     came: float
     began: float | None = None
     ended: float | None = None
-    end: str = ""  # done, handed back, given up, died
+    end: str = ""  # done, handed back, given up, died, full, error
+    node: str = ""  # who sent it
+    work: float = 0.0  # ms on one core of speed 1, for each of its slots
+    slots: int = 1
 
 
 @dataclass(slots=True)
--- a/burlmoor/rig/sabotage.py
+++ b/burlmoor/rig/sabotage.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -58,13 +59,84 @@
     Line.next = lambda self, now, room: None  # type: ignore[method-assign]
 
 
-SABOTAGES: dict[str, Callable[[], None]] = {
+def _same_seed() -> None:
+    """All nodes draw the same numbers."""
+    from burlmoor.decide import Dispatcher  # noqa: PLC0415
+
+    init = Dispatcher.__init__
+    Dispatcher.__init__ = lambda self, settings, seed: init(self, settings, 1)  # type: ignore[method-assign]
+
+
+def _in_step() -> None:
+    """All nodes send in the same moments, four times a second."""
+    from burlmoor.decide import Dispatcher, Job  # noqa: PLC0415
+
+    def strike(now: float) -> float:
+        # By the machine's clock, which is all nodes' own: each process counts from elsewhere.
+        return now + 250.0 - time.monotonic() * 1000.0 % 250.0
+
+    round_ = Dispatcher._round
+
+    def wait(self: Dispatcher, job: Job, now: float, ticks: float) -> None:
+        job.waiting = True
+        self.waiting[job.id] = job
+        self.round_at = min(self.round_at, strike(now))
+
+    def in_step(self: Dispatcher, now: float) -> None:
+        round_(self, now)
+        if self.waiting:
+            self.round_at = strike(now)
+
+    Dispatcher._wait, Dispatcher._round = wait, in_step  # type: ignore[method-assign]
+
+
+def _one_order() -> None:
+    """All nodes look at executors in the same order, and take the first that seems to have room."""
+    from burlmoor.decide import SAMPLE, Reach  # noqa: PLC0415
+
+    def sample(self: Reach, _rng: Any, near: int, far: int) -> Any:
+        return [*self.near, *self.far][: near + far]
+
+    assert SAMPLE > 0
+    Reach.sample = sample  # type: ignore[assignment, method-assign]
+    home = Reach.home
+    Reach.home = lambda self, key: home(self, "one") if key else []  # type: ignore[method-assign]
+
+
+def _no_ageing() -> None:
+    """What was learnt is never forgotten."""
+    from burlmoor.means import Mean  # noqa: PLC0415
+
+    add, read = Mean.add, Mean.read
+
+    def kept(self: Mean, now: float, value: float, _half: float, weight: float = 1.0) -> None:
+        add(self, now, value, 1e15, weight)
+
+    Mean.add = kept  # type: ignore[assignment, method-assign]
+    Mean.read = lambda self, now, _half, *rest: read(self, now, 1e15, *rest)  # type: ignore[method-assign]
+
+
+Sabotages = dict[str, Callable[[], None]]
+
+OF_WAITING: Sabotages = {
     "forget-parents": _forget_parents,
     "early": _early,
     "failed-is-served": _failed_is_served,
     "no-cascade": _no_cascade,
     "starve": _starve,
 }
+OF_SPREAD: Sabotages = {
+    "same-seed": _same_seed,
+    "in-step": _in_step,
+    "one-order": _one_order,
+    "no-ageing": _no_ageing,
+}
+SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD
+
+
+def told(sabotages: Sabotages) -> dict[str, str]:
+    """What each does, by name."""
+    return {name: (act.__doc__ or "").strip() for name, act in sabotages.items()}
 
 
 def main() -> int:
--- a/tests/rig/test_drill.py
+++ b/tests/rig/test_drill.py
@@ -11,7 +11,7 @@
 from burlmoor.rig.drill import Claim, Verdict
 from burlmoor.rig.drill_waiting import _Plan, judge
 from burlmoor.rig.ledger import Asked, Ledger, Ran
-from burlmoor.rig.sabotage import SABOTAGES
+from burlmoor.rig.sabotage import OF_WAITING
 
 
 def good() -> Ledger:
@@ -132,7 +132,7 @@
 def test_a_sabotage_that_is_none_is_bad_usage_and_each_is_told() -> None:
     done = CliRunner().invoke(main, ["drill", "waiting", "--sabotage", "nothing"])
     assert done.exit_code == 2
-    assert all(name in done.output for name in SABOTAGES)
+    assert all(name in done.output for name in OF_WAITING)
 
 
 def test_what_a_node_refuses_as_it_ends_is_told_from_what_it_released() -> None:
