Keep cores for the far sides of a run, and end what never ends with the last slice

Checked: rows of executors came up to 15 s after they were sent while all nodes were calm; 82 processes were running, each with 9 % of a core, relays and executors among them. So the stand-ins starved, not the nodes. Also, work that never ended was taken off the first slice, since infinity // 100 is no number.

Change: node processes run on all cores but three where there are six and more, the far sides on those three. `back` has killed nodes return one after another. Each job has a key of its own unless told, and the list tells sizes, as baselines know them. A party that fails is told with the end of its log.

--- a/burlmoor/cli/fleet.py
+++ b/burlmoor/cli/fleet.py
@@ -44,6 +44,7 @@
 @click.option("--load", default=0.7, show_default=True, help="Of what executors can do.")
 @click.option("--zones", default=1, show_default=True, type=click.IntRange(1, 8))
 @click.option("--hot", default=0.0, show_default=True, help="The share of jobs that one key has.")
+@click.option("--keys", default=0, show_default=True, help="Keys that jobs share; 0: each its own.")
 @click.option("--loud", default=1.0, show_default=True, help="How many times its share the first node gets.")
 @click.option(
     "--troubles", default=0, show_default=True, help="How many to draw, where no SCHEDULE is given."
@@ -60,6 +61,7 @@
     load: float,
     zones: int,
     hot: float,
+    keys: int,
     loud: float,
     troubles: int,
     keep: Path | None,
@@ -80,6 +82,7 @@
         load,
         zones,
         loud=loud,
+        keys=keys,
         hot=hot,
         schedule=wanted or Schedule(seed),
     )
--- a/burlmoor/rig/fleet/children.py
+++ b/burlmoor/rig/fleet/children.py
@@ -23,12 +23,16 @@
     "import ctypes, os, sys\n"
     "ctypes.CDLL(None).prctl(1, 9, 0, 0, 0)\n"
     "os.getppid() == int(sys.argv[1]) or os._exit(1)\n"
-    "os.execv(sys.argv[2], sys.argv[2:])\n"
+    "sys.argv[2] and os.sched_setaffinity(0, {int(core) for core in sys.argv[2].split(',')})\n"
+    "os.execv(sys.argv[3], sys.argv[3:])\n"
 )
 
 
 class Child:
-    """Owns one process. Starts and signals don't wait; only the main thread may start one."""
+    """Owns one process. Starts and signals don't wait; only the main thread may start one.
+
+    `cores` are those that it may run on; none named: any.
+    """
 
     def __init__(
         self,
@@ -36,8 +40,18 @@
         log: Path,
         environment: dict[str, str] | None = None,
         talks: bool = False,
+        cores: frozenset[int] = frozenset(),
     ) -> None:
-        bound = [sys.executable, "-I", "-S", "-c", _BOUND, str(os.getpid()), sys.executable, *command]
+        bound = [
+            sys.executable,
+            "-I",
+            "-S",
+            "-c",
+            _BOUND,
+            str(os.getpid()),
+            ",".join(map(str, sorted(cores))),
+        ]
+        bound += [sys.executable, *command]
         with log.open("ab") as sink:
             # Not by a thread: the kernel's promise is on the thread that starts it.
             self._process = subprocess.Popen(
--- a/burlmoor/rig/fleet/load.py
+++ b/burlmoor/rig/fleet/load.py
@@ -11,7 +11,6 @@
 
 _SIGMA = 0.5  # of the logarithm of a job's work
 _WIDTHS, _WIDTH_SHARES = (1, 2, 4), (0.8, 0.15, 0.05)
-_KEYS = 250
 
 
 class Job(NamedTuple):
@@ -37,6 +36,7 @@
     skew: float = 0.5  # sigma of the logarithm of a node's share
     loud: float = 1.0  # how many times its share the first node gets
     hot: float = 0.0  # the share of all jobs that one key has
+    keys: int = 0  # that jobs share, by Zipf's law; 0: each has its own, since stand-ins keep no data sets
 
 
 def shares(load: Load) -> np.ndarray:
@@ -48,7 +48,7 @@
 
 
 def draw(load: Load) -> list[Job]:
-    """All jobs in order of time: a Poisson stream, work lognormal, keys by Zipf's law."""
+    """All jobs in order of time: a Poisson stream, work lognormal."""
     rng = np.random.default_rng([load.seed, 2])
     count = int(rng.poisson(load.rate * load.seconds))
     at = np.sort(rng.uniform(0.0, load.seconds, count))
@@ -56,7 +56,7 @@
     chosen = rng.choice(len(KINDS), size=count, p=kinds / kinds.sum())
     spread = load.scale * rng.lognormal(-0.5 * _SIGMA**2, _SIGMA, count)
     widths = rng.choice(_WIDTHS, size=count, p=_WIDTH_SHARES)
-    keys = np.minimum(rng.zipf(1.5, count), _KEYS)
+    keys = np.minimum(rng.zipf(1.5, count), load.keys) if load.keys else np.arange(1, count + 1)
     keys[rng.uniform(size=count) < load.hot] = 0
     nodes = rng.choice(load.nodes, size=count, p=shares(load))
     return [
--- a/burlmoor/rig/fleet/measure.py
+++ b/burlmoor/rig/fleet/measure.py
@@ -64,6 +64,8 @@
 
     def slot(self, at: float) -> int:
         """The slice of a moment, within the run."""
+        if at == math.inf:
+            return self.count
         return int(min(max(0.0, (at - self.begin) // SLICE), self.count))
 
     def held(self, rows: Sequence[Ran], jobs: bool = False) -> np.ndarray:
@@ -179,7 +181,7 @@
 def ends(record: Record) -> list[tuple[str, float, float]]:
     """Each trouble of a run, by what and when: its begin and end in ms."""
     return [
-        (f"{t.what} at {t.at:g} s", record.begin + t.at * 1000.0, record.begin + t.until * 1000.0)
+        (f"{t.what} at {t.at:g} s", record.begin + t.at * 1000.0, record.begin + t.past * 1000.0)
         for t in sorted(record.plan.schedule.troubles, key=lambda each: each.at)
     ]
 
--- a/burlmoor/rig/fleet/record.py
+++ b/burlmoor/rig/fleet/record.py
@@ -26,6 +26,7 @@
     skew: float = 0.5
     loud: float = 1.0
     hot: float = 0.0
+    keys: int = 0
     sabotage: str | None = None
     schedule: Schedule = Schedule(0)
 
--- a/burlmoor/rig/fleet/run.py
+++ b/burlmoor/rig/fleet/run.py
@@ -29,6 +29,8 @@
 _READY, _PARTY = 90.0, 20.0  # seconds until all nodes, and any other party, must be up
 _LEAD = 1.0  # seconds from when all are ready until the load begins
 _AFTER = 2.0  # seconds beyond the longest patience until clients must be done
+_FAR = 3  # cores kept for the far sides, where there are twice as many and more
+_TAIL = 2000  # characters of a log that are told where a party has failed
 _STOP = 15.0  # seconds that nodes have to end in
 
 
@@ -49,7 +51,9 @@
         self.ports = places.free_ports()
         specs = fleet(plan.executors)
         scale = plan.load * capacity(specs) * 1000.0 / (plan.rate * mean_cost())
-        load = Load(plan.rate, plan.seconds, plan.nodes, plan.seed, scale, plan.skew, plan.loud, plan.hot)
+        load = Load(
+            plan.rate, plan.seconds, plan.nodes, plan.seed, scale, plan.skew, plan.loud, plan.hot, plan.keys
+        )
         zones = "abcdefgh"[: plan.zones]
         self.record = Record(
             plan, load, specs,
@@ -62,6 +66,12 @@
         self._nodes: dict[int, Child] = {}
         self._away: set[int] = set()  # nodes that were ended on purpose
         self._parties: dict[str, list[Child]] = {"relay": [], "switch": [], "executors": [], "clients": []}
+        # Hundreds that start at once must not keep the far sides, whose rows count, from their work; nice
+        # does not help where each session is scheduled as a group.
+        cores = sorted(os.sched_getaffinity(0))
+        shared = len(cores) < 2 * _FAR
+        self._node_cores = frozenset() if shared else frozenset(cores[_FAR:])
+        self._far_cores = frozenset() if shared else frozenset(cores[:_FAR])
         self._known = ""
         self._discovery: Discovery
         self._addresses: list[str] = []
@@ -96,12 +106,20 @@
     def _party(self, sort: str, module: str, plan: msgspec.Struct) -> Child:
         number = len(self._parties[sort])
         child = Child(
-            ["-m", f"burlmoor.rig.fleet.{module}"], self._folder / f"{sort}-{number}.log", talks=True
+            ["-m", f"burlmoor.rig.fleet.{module}"],
+            self._folder / f"{sort}-{number}.log",
+            talks=True,
+            cores=self._far_cores,
         )
         self._parties[sort].append(child)
         child.tell(plan)
         return child
 
+    def _failed(self, sort: str, what: str) -> RuntimeError:
+        """Say it with the end of what that sort has logged: the folder may be gone later."""
+        logs = "".join(path.read_text()[-_TAIL:] for path in sorted(self._folder.glob(f"{sort}-*.log")))
+        return RuntimeError(f"a process of {sort} {what}\n{logs}")
+
     async def _stand_ins(self, parts: Parts) -> None:
         record, first = self.record, self.ports.first
         for number in range(parts.relays):
@@ -116,12 +134,13 @@
         for sort in ("relay", "switch", "executors"):
             for child in self._parties[sort]:
                 if not await child.said(_PARTY):
-                    raise RuntimeError(f"a process of {sort} did not start; its log is in {self._folder}")
+                    raise self._failed(sort, "did not start")
         for number, name in enumerate(self._names):
             dials = {n: f"{places.link(number, e)}:{self.ports.forwards}" for n, e in self._numbers.items()}
             self._addresses.append(await self._discovery.listen(name, dials))
         for name, zone in zip(names, record.executor_zones, strict=True):
-            self._discovery.tell(name, site=zone)
+            size = record.specs[name].cores * record.specs[name].speed  # as the baselines know it, too
+            self._discovery.tell(name, site=zone, share=size)
 
     def _start_node(self, number: int) -> None:
         name, folder = self._names[number], self._folder / self._names[number]
@@ -141,7 +160,7 @@
         sabotage = self.plan.sabotage
         command = ["-m", "burlmoor"] if sabotage is None else ["-m", "burlmoor.rig.sabotage", sabotage]
         environment = {**kept, "RELAY_CONFIG": str(path), "TMPDIR": str(folder)}
-        self._nodes[number] = Child(command, folder / "log", environment)
+        self._nodes[number] = Child(command, folder / "log", environment, cores=self._node_cores)
         self._away.discard(number)
 
     def _known_to(self, name: str) -> object:
@@ -200,7 +219,7 @@
         patience = max(kind.patience for kind in KINDS) / 1000.0
         for child in self._parties["clients"]:
             if not await child.said(patience + _AFTER + 10.0):
-                raise RuntimeError(f"clients did not finish ({child.status}); their log is in {self._folder}")
+                raise self._failed("clients", f"did not finish ({child.status})")
 
     async def _until(self, at: float) -> None:
         await trio.sleep(max(0.0, (self.record.begin - now()) / 1000.0 + at))
@@ -224,8 +243,9 @@
             one, numbers = self._discovery_trouble, nodes
         async with trio.open_nursery() as nursery:
             for place, number in enumerate(numbers):
-                wait = trouble.over * place / len(numbers)
-                moved = msgspec.structs.replace(trouble, at=trouble.at + wait)
+                at = trouble.at + trouble.over * place / len(numbers)
+                lasts = trouble.lasts + trouble.back * place / len(numbers)
+                moved = msgspec.structs.replace(trouble, at=at, lasts=lasts)
                 nursery.start_soon(one, moved, number)
 
     async def _node_trouble(self, trouble: Trouble, number: int) -> None:
@@ -322,7 +342,7 @@
             child.tell(executors.Order("end"))
         for child in self._parties["executors"]:
             if not await child.said(_PARTY):
-                raise RuntimeError(f"executors did not write their ledger; their log is in {self._folder}")
+                raise self._failed("executors", "did not write their ledger")
         for child in self._nodes.values():
             child.signal(signal.SIGTERM)
         async with trio.open_nursery() as nursery:
--- a/burlmoor/rig/fleet/troubles.py
+++ b/burlmoor/rig/fleet/troubles.py
@@ -43,12 +43,18 @@
     size: float = 0.0
     told: float = 1.0  # seconds until discovery tells that an executor has died
     over: float = 0.0  # one after another within so many seconds, rather than all at once
+    back: float = 0.0  # nodes that were ended start again within so many seconds, one after another
 
     @property
     def until(self) -> float:
-        """When it is over."""
+        """When it is over for the first that it befalls."""
         return self.at + self.lasts
 
+    @property
+    def past(self) -> float:
+        """When it is over for all."""
+        return self.until + self.over + self.back
+
 
 class Schedule(msgspec.Struct, frozen=True):
     """All that goes wrong in a run."""
@@ -105,8 +111,8 @@
         raise ValueError(f"{section}: what: {made.what!r} is none of {', '.join(KINDS)}")
     if not (0.0 <= made.at < 1e6 and 0.0 <= made.lasts < 1e6):
         raise ValueError(f"{section}: at and lasts are seconds from 0 on")
-    if made.size < 0.0 or made.over < 0.0 or made.told < 0.0:
-        raise ValueError(f"{section}: size, over and told are not below 0")
+    if min(made.size, made.over, made.told, made.back) < 0.0:
+        raise ValueError(f"{section}: size, over, told and back are not below 0")
     needs = "executors" if made.what in EXECUTORS else "nodes"
     if not getattr(made, needs):
         raise ValueError(f"{section}: {made.what} needs {needs}")
--- a/tests/rig/test_fleet.py
+++ b/tests/rig/test_fleet.py
@@ -190,6 +190,13 @@
     assert 0.6 < spread(made, made.asked, made.ran).idleness <= 0.75
 
 
+def test_a_job_that_never_ends_is_held_to_the_last() -> None:
+    grid = Grid(list(SPECS.values()), list(SPECS), 0.0, 20.0, [])
+    held = grid.held([Ran("j1", SEARCH.name, "s-0", 5000.0, work=10.0)])
+    assert held[49].sum() == 0.0
+    assert held[50:].sum() == 10.0 * 150
+
+
 def test_time_to_heal_is_seen_from_the_end_of_a_trouble() -> None:
     grid = Grid(list(SPECS.values()), list(SPECS), 0.0, 20.0, [])
     cv = np.full(200, 0.4)
