--- a/burlmoor/rig/__main__.py
+++ b/burlmoor/rig/__main__.py
@@ -13,7 +13,7 @@
 import trio
 
 from burlmoor.rig.executor import Executor
-from burlmoor.rig.ledger import Asked, Ledger
+from burlmoor.rig.ledger import Anybody, Ledger
 from burlmoor.rig.machine import Spec
 
 
@@ -24,16 +24,9 @@
     relay: tuple[str, int]
 
 
-class _Anybody(dict[str, Asked]):
-    """Guards nothing: clients are in another process, so any id may be one of theirs."""
-
-    def __contains__(self, key: object) -> bool:
-        return bool(key)
-
-
 async def _serve(plan: Plan) -> None:
     async with trio.open_nursery() as nursery:
-        ledger = Ledger(asked=_Anybody())
+        ledger = Ledger(asked=Anybody())
         executors = [Executor(name, spec, ledger, nursery) for name, spec in plan.executors.items()]
         dials = {each.name: await each.listen("n0", plan.relay) for each in executors}
         print(json.dumps(dials), flush=True)
--- a/burlmoor/rig/fleet/clients.py
+++ b/burlmoor/rig/fleet/clients.py
@@ -20,7 +20,7 @@
 from burlmoor.rig.fleet.load import Job, Load, draw
 from burlmoor.rig.fleet.places import Ports
 from burlmoor.rig.fleet.places import node as node_at
-from burlmoor.rig.fleet.told import first, lines
+from burlmoor.rig.fleet.told import lines, play
 from burlmoor.rig.ledger import Asked, Ledger
 
 
@@ -95,11 +95,5 @@
         nursery.cancel_scope.cancel()
 
 
-def main() -> int:
-    """Run until standard input ends or all is done; the exit status."""
-    trio.run(serve, msgspec.json.decode(first(), type=Plan))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(serve, Plan))
--- a/burlmoor/rig/fleet/executors.py
+++ b/burlmoor/rig/fleet/executors.py
@@ -16,8 +16,8 @@
 from burlmoor.rig.executor import Executor
 from burlmoor.rig.fleet.places import Ports, ends
 from burlmoor.rig.fleet.places import executor as executor_at
-from burlmoor.rig.fleet.told import first, lines
-from burlmoor.rig.ledger import Asked, Ledger
+from burlmoor.rig.fleet.told import lines, play
+from burlmoor.rig.ledger import Anybody, Ledger
 from burlmoor.rig.machine import Spec
 
 
@@ -38,13 +38,6 @@
     size: float = 0.0  # slow: how many times slower; still, fail: 1 on, 0 off
 
 
-class _Anybody(dict[str, Asked]):
-    """Clients are in other processes, so any id may be one of theirs."""
-
-    def __contains__(self, key: object) -> bool:
-        return bool(key)
-
-
 async def _obey(order: Order, executors: dict[str, Executor]) -> None:
     for name in order.names:
         each = executors[name]
@@ -70,7 +63,7 @@
         return str(ends(source)[0]), (source, ports.backwards)
 
     async with trio.open_nursery() as nursery:
-        ledger = Ledger(asked=_Anybody())
+        ledger = Ledger(asked=Anybody())
         executors = {name: Executor(name, spec, ledger, nursery) for name, spec in plan.specs.items()}
         for name, each in executors.items():
             await each.listen_to_all((executor_at(plan.numbers[name]), ports.jobs), caller)
@@ -85,11 +78,5 @@
         nursery.cancel_scope.cancel()
 
 
-def main() -> int:
-    """Run until standard input ends; the exit status."""
-    trio.run(serve, msgspec.json.decode(first(), type=Plan))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(serve, Plan))
--- a/burlmoor/rig/fleet/places.py
+++ b/burlmoor/rig/fleet/places.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import ipaddress
+import os
 import socket
 from contextlib import ExitStack
 from typing import NamedTuple
@@ -92,7 +93,10 @@
 
 def free_ports() -> Ports:
     """A row of ports that nobody on loopback listens on now; OSError where none is found."""
-    for first in range(20_000, 30_000, _PORTS):
+    # Each process looks from a place of its own, so that fleets that start together seldom meet.
+    rows = range(20_000, 30_000, _PORTS)
+    begin = os.getpid() % len(rows)
+    for first in (*rows[begin:], *rows[:begin]):
         with ExitStack() as held:
             try:
                 for port in range(first, first + _PORTS):
--- a/burlmoor/rig/fleet/run.py
+++ b/burlmoor/rig/fleet/run.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import sys
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
@@ -369,15 +368,3 @@
 class _Answers(msgspec.Struct):
     asked: list[Asked]
     behind: float
-
-
-def main() -> int:
-    """A small run by hand, for a look at the rig itself; the exit status."""
-    plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
-    record = trio.run(Fleet(plan, Path(sys.argv[1]), lambda line: print(line, file=sys.stderr)).run)
-    record.write(Path(sys.argv[1]))
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/burlmoor/rig/fleet/switch.py
+++ b/burlmoor/rig/fleet/switch.py
@@ -21,7 +21,7 @@
 from burlmoor.rig.fleet.places import Ports, ends, link, local
 from burlmoor.rig.fleet.places import node as node_at
 from burlmoor.rig.fleet.relay import Plan
-from burlmoor.rig.fleet.told import first, lines
+from burlmoor.rig.fleet.told import lines, play
 from burlmoor.rig.fleet.troubles import Effect
 
 MOST = 100_000  # datagrams on their way at once: more are lost, as in a switch
@@ -138,11 +138,5 @@
         nursery.cancel_scope.cancel()
 
 
-def main() -> int:
-    """Switch until standard input ends; the exit status."""
-    trio.run(serve, msgspec.json.decode(first(), type=Plan))
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(serve, Plan))
--- a/burlmoor/rig/fleet/told.py
+++ b/burlmoor/rig/fleet/told.py
@@ -4,10 +4,20 @@
 
 import os
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
 
+import msgspec
 import trio
 
+_T = TypeVar("_T")
+
+
+def play(run: Callable[[_T], Awaitable[None]], plan: type[_T]) -> int:
+    """A party's whole life: it is told its plan in the first line, and runs; the exit status."""
+    trio.run(run, msgspec.json.decode(first(), type=plan))
+    return 0
+
 
 async def lines() -> AsyncIterator[bytes]:
     """Each line that comes; the end of input ends it.
--- a/burlmoor/rig/ledger.py
+++ b/burlmoor/rig/ledger.py
@@ -113,3 +113,10 @@
         """Served answers that no executor gave."""
         done = {each.id for each in self.ran if each.end == "done"}
         return [each.id for each in self.asked.values() if each.served and each.id not in done]
+
+
+class Anybody(dict[str, Asked]):
+    """For executors whose clients are in another process: any id may be one of theirs."""
+
+    def __contains__(self, key: object) -> bool:
+        return bool(key)
--- a/tests/rig/test_fleet.py
+++ b/tests/rig/test_fleet.py
@@ -331,6 +331,27 @@
     assert audit(made).broken == []
 
 
+def test_the_drill_of_spread_tells_a_sound_node_from_one_that_herds(tmp_path: Path) -> None:
+    code = "from burlmoor.cli.main import main; main()"
+    told = ["drill", "spread", "--nodes", "12", "--seconds", "16", "--seed", "4", "--json"]
+    runs = {
+        name: subprocess.Popen(
+            [sys.executable, "-c", code, *told, str(tmp_path / name), *more], stderr=subprocess.DEVNULL
+        )
+        for name, more in (("sound", []), ("herds", ["--sabotage", "one-order"]))
+    }
+    claims = {}
+    for name, run in runs.items():
+        assert run.wait(timeout=120.0) in (0, 1)
+        claims[name] = msgspec.json.decode((tmp_path / name).read_bytes())["claims"]
+    # Claims that a slow machine does not change: the others are for the operators' own runs.
+    for claim in ("rules broken", "herd at p99.9"):
+        assert claims["sound"][claim]["held"]
+    over = "served in time, over round robin's"
+    assert claims["sound"][over]["value"] > 2.0 * claims["herds"][over]["value"]
+    assert not claims["herds"][over]["held"] and not claims["herds"]["idleness"]["held"]
+
+
 def _family(pid: int) -> list[psutil.Process]:
     return list(psutil.Process(pid).children(recursive=True))
 
