Let a machine's spec tell what it can do and how warm it is, and ports be a plain row

Need: read once more, the rig worked out cores times speed in five places, warmth in three and a node's name in four, opened outgoing connections twice, filtered a node's environment twice, and rebuilt the list of the beginning at each restart. Seven properties of Ports counted up from one number. Parameters, a percentile and an assertion were used by nobody; a docstring named a function that is not there, and a comment called the memory at the end the most seen.

Change: Spec.able, Spec.warmth, Record.node_names, node.inherited and wire.connect's `source` are called in each place; Ports is a row that plans carry whole; the list of the beginning is taken once; an order names one executor. Left: the event queue of baselines and of model/world.py, and two drawings of a Poisson load, whose random streams would change with a merge.

--- a/burlmoor/cli/fleet.py
+++ b/burlmoor/cli/fleet.py
@@ -17,7 +17,7 @@
 from burlmoor.rig.drill import Verdict
 from burlmoor.rig.fleet import record as records
 from burlmoor.rig.fleet.run import Fleet
-from burlmoor.rig.fleet.troubles import Schedule, draw, read
+from burlmoor.rig.fleet.troubles import draw, read
 from burlmoor.rig.fleet.verdict import found
 
 
@@ -84,7 +84,7 @@
         loud=loud,
         keys=keys,
         hot=hot,
-        schedule=wanted or Schedule(seed),
+        schedule=wanted,
     )
     console = Console(stderr=True)
     with tempfile.TemporaryDirectory(prefix="burlmoor-") as folder:
--- a/burlmoor/model/audit.py
+++ b/burlmoor/model/audit.py
@@ -113,8 +113,7 @@
         for first, attempt in enumerate(attempts):
             end = attempt.sent + rules.fall_window
             load = sum(each.cost for each in attempts[first:] if each.sent <= end)
-            warm = min(1.0, spec.cold_share + (1.0 - spec.cold_share) * (end - start) / spec.cold_ms)
-            bears = rules.fall_multiple * spec.cores * spec.speed * warm * rules.fall_window
+            bears = rules.fall_multiple * spec.able * spec.warmth(end - start) * rules.fall_window
             if load > CHANCE * bears:
                 broken.append(f"{name}: {load:.0f} ms of work in a window where it bears {bears:.0f}")
                 break
--- a/burlmoor/rig/discovery.py
+++ b/burlmoor/rig/discovery.py
@@ -76,7 +76,7 @@
             else:
                 after, wait = int(query["after"][0]), float(query["wait_ms"][0])
                 with trio.move_on_after(wait / 1000.0):
-                    while (shown := self._shown(node)) <= after:
+                    while self._shown(node) <= after:
                         with trio.move_on_after(0.05 if self.seq > after else math.inf):
                             await self._news.wait()
                 shown = self._shown(node)
--- a/burlmoor/rig/fleet/audit.py
+++ b/burlmoor/rig/fleet/audit.py
@@ -51,7 +51,7 @@
 
 def _at_node(record: Record, what: tuple[str, ...]) -> dict[int, list[Span]]:
     spans: dict[int, list[Span]] = defaultdict(list)
-    numbers = {f"n{number:03d}": number for number in range(record.plan.nodes)}
+    numbers = {name: number for number, name in enumerate(record.node_names())}
     for span in record.spans:
         if span.what in what and span.who in numbers:
             spans[numbers[span.who]].append(span)
@@ -135,8 +135,7 @@
 def _troubled(record: Record, node: int, executor: str, came: float) -> bool:
     """Whether the schedule holds bytes back on this link, or did so until a moment before."""
     at = (came - record.begin) / 1000.0
-    names = [f"n{number:03d}" for number in range(record.plan.nodes)]
-    sides = (names, record.node_zones), (record.names(), record.executor_zones)
+    sides = (record.node_names(), record.node_zones), (record.names(), record.executor_zones)
     number = record.names().index(executor)
     near = [at, *(t.until - 1e-3 for t in record.plan.schedule.troubles if 0.0 <= at - t.until < 1.0)]
     return any(
@@ -163,8 +162,7 @@
         for born in times:
             cold = [row for row in rows if born <= row.came < born + spec.cold_ms]
             for number, row in enumerate(cold):
-                warm = spec.cold_share + (1.0 - spec.cold_share) * (row.came - born) / spec.cold_ms
-                budget = multiple * warm * spec.cores * spec.speed * window
+                budget = multiple * spec.warmth(row.came - born) * spec.able * window
                 work = sum(r.work * r.slots for r in cold[number:] if r.came < row.came + window)
                 if work > LUCK * budget:
                     found.broken.append(f"{name}: cold, got {work / budget:.2f} of its budget in a window")
--- a/burlmoor/rig/fleet/baselines.py
+++ b/burlmoor/rig/fleet/baselines.py
@@ -28,7 +28,7 @@
         self.record, self._choose, self.rng = record, choose, random.Random(seed)
         self.names = record.names()
         self.machines = [Machine(record.specs[name], 0.0) for name in self.names]
-        self.sizes = [record.specs[name].cores * record.specs[name].speed for name in self.names]
+        self.sizes = [record.specs[name].able for name in self.names]
         self.own: dict[int, list[float]] = defaultdict(lambda: [0.0] * len(self.names))  # a node's jobs out
         self.turn: dict[int, int] = {}
         self.work = [0.0] * len(self.names)  # truly held, core-ms
--- a/burlmoor/rig/fleet/clients.py
+++ b/burlmoor/rig/fleet/clients.py
@@ -27,7 +27,7 @@
 class Plan(msgspec.Struct):
     """The load, and which part of it is this process's."""
 
-    first_port: int
+    ports: Ports
     load: Load
     part: int  # the jobs of nodes of which the number leaves this rest
     parts: int
@@ -40,7 +40,7 @@
     """Owns the connections to all nodes that its jobs go to."""
 
     def __init__(self, plan: Plan) -> None:
-        self._plan, self._ports = plan, Ports(plan.first_port)
+        self._plan = plan
         self.ledger = Ledger()
         self._rng = random.Random(plan.load.seed * 1000 + plan.part)
         self._clients: dict[int, Clients] = {}
@@ -72,7 +72,7 @@
 
     def _at(self, node: int) -> Clients:
         if node not in self._clients:
-            address = (node_at(node), self._ports.clients)
+            address = (node_at(node), self._plan.ports.clients)
             self._clients[node] = Clients(address, self.ledger, resends=False)
         return self._clients[node]
 
--- a/burlmoor/rig/fleet/executors.py
+++ b/burlmoor/rig/fleet/executors.py
@@ -24,49 +24,46 @@
 class Plan(msgspec.Struct):
     """The executors of this process, by number and name."""
 
-    first_port: int
+    ports: Ports
     specs: dict[str, Spec]
     numbers: dict[str, int]
     ledger: str  # where it is written in the end
 
 
 class Order(msgspec.Struct):
-    """What befalls executors."""
+    """What befalls an executor; its name is left out of `end`, which is for all."""
 
     do: Literal["die", "back", "hand_back", "still", "slow", "fail", "end"]
-    names: list[str] = []
+    name: str = ""
     size: float = 0.0  # slow: how many times slower; still, fail: 1 on, 0 off
 
 
-async def _obey(order: Order, executors: dict[str, Executor]) -> None:
-    for name in order.names:
-        each = executors[name]
-        if order.do == "die" and each.alive:
-            each.die()
-        elif order.do == "back" and not each.alive:
-            await each.come_back()
-        elif order.do == "hand_back":
-            await each.hand_back()
-        elif order.do == "still":
-            each.stall(order.size > 0.0)
-        elif order.do == "slow":
-            each.slow(max(1.0, order.size))
-        elif order.do == "fail":
-            each.failing = order.size > 0.0
+async def _obey(order: Order, each: Executor) -> None:
+    if order.do == "die" and each.alive:
+        each.die()
+    elif order.do == "back" and not each.alive:
+        await each.come_back()
+    elif order.do == "hand_back":
+        await each.hand_back()
+    elif order.do == "still":
+        each.stall(order.size > 0.0)
+    elif order.do == "slow":
+        each.slow(max(1.0, order.size))
+    elif order.do == "fail":
+        each.failing = order.size > 0.0
 
 
 async def serve(plan: Plan) -> None:
     """Run the executors until the input ends, or they are told to end."""
-    ports = Ports(plan.first_port)
 
     def caller(source: str) -> tuple[str, tuple[str, int]]:
-        return str(ends(source)[0]), (source, ports.backwards)
+        return str(ends(source)[0]), (source, plan.ports.backwards)
 
     async with trio.open_nursery() as nursery:
         ledger = Ledger(asked=Anybody())
         executors = {name: Executor(name, spec, ledger, nursery) for name, spec in plan.specs.items()}
         for name, each in executors.items():
-            await each.listen_to_all((executor_at(plan.numbers[name]), ports.jobs), caller)
+            await each.listen_to_all((executor_at(plan.numbers[name]), plan.ports.jobs), caller)
         print("{}", flush=True)
         async for line in lines():
             order = msgspec.json.decode(line, type=Order)
@@ -74,7 +71,7 @@
                 Path(plan.ledger).write_bytes(msgspec.json.encode(ledger.ran))
                 print("{}", flush=True)
                 break
-            await _obey(order, executors)
+            await _obey(order, executors[order.name])
         nursery.cancel_scope.cancel()
 
 
--- a/burlmoor/rig/fleet/measure.py
+++ b/burlmoor/rig/fleet/measure.py
@@ -39,7 +39,6 @@
     herd_most: float
     worst_over_mean: float  # median over the slices
     variation: float  # median over the slices
-    variation_p99: float
     idleness: float
     served: float  # share of the jobs
     in_time: float  # share of the jobs served within their aim
@@ -56,7 +55,7 @@
     ) -> None:
         self.begin, self.count = begin, int(seconds * 1000.0 / SLICE)
         self.names = {name: number for number, name in enumerate(names)}
-        self.able = np.array([spec.cores * spec.speed for spec in specs])
+        self.able = np.array([spec.able for spec in specs])
         self.up = np.ones((self.count, len(specs)), dtype=bool)
         for span in spans:
             if span.what in _AWAY and span.who in self.names:
@@ -202,7 +201,6 @@
         herd_most=herd_most,
         worst_over_mean=float(np.median(most[settled])),
         variation=float(np.median(cv[settled])),
-        variation_p99=float(np.quantile(cv[settled], 0.99)),
         idleness=idleness(grid, asked, rows),
         served=len(served) / max(1, len(asked)),
         in_time=in_time / max(1, len(asked)),
--- a/burlmoor/rig/fleet/places.py
+++ b/burlmoor/rig/fleet/places.py
@@ -15,7 +15,6 @@
 
 MOST = 2048  # nodes, and executors: 11 bits of a link's address each
 _NODES, _EXECUTORS, _LINKS = 0x7F010000, 0x7F020000, 0x7F400000
-_PORTS = 8
 
 
 def _written(number: int) -> str:
@@ -46,44 +45,15 @@
 
 
 class Ports(NamedTuple):
-    """The ports of one fleet, alike at all addresses."""
+    """The ports of one fleet, in a row, alike at all addresses."""
 
-    first: int
-
-    @property
-    def clients(self) -> int:
-        """Where nodes take jobs and call-backs."""
-        return self.first
-
-    @property
-    def control(self) -> int:
-        """Where nodes hear their operators."""
-        return self.first + 1
-
-    @property
-    def jobs(self) -> int:
-        """Where executors listen."""
-        return self.first + 2
-
-    @property
-    def forwards(self) -> int:
-        """Where the relays take what nodes send to executors."""
-        return self.first + 3
-
-    @property
-    def backwards(self) -> int:
-        """Where the relays take call-backs."""
-        return self.first + 4
-
-    @property
-    def datagrams(self) -> int:
-        """Where the switch takes what nodes send each other."""
-        return self.first + 5
-
-    @property
-    def peers(self) -> int:
-        """Where nodes take other nodes' datagrams."""
-        return self.first + 6
+    clients: int  # where nodes take jobs and call-backs
+    control: int  # where nodes hear their operators
+    jobs: int  # where executors listen
+    forwards: int  # where the relays take what nodes send to executors
+    backwards: int  # where the relays take call-backs
+    datagrams: int  # where the switch takes what nodes send each other
+    peers: int  # where nodes take other nodes' datagrams
 
 
 def local(sock: socket.socket) -> None:
@@ -94,17 +64,18 @@
 def free_ports() -> Ports:
     """A row of ports that nobody on loopback listens on now; OSError where none is found."""
     # Each process looks from a place of its own, so that fleets that start together seldom meet.
-    rows = range(20_000, 30_000, _PORTS)
+    rows = range(20_000, 30_000, len(Ports._fields))
     begin = os.getpid() % len(rows)
     for first in (*rows[begin:], *rows[:begin]):
+        ports = Ports(*range(first, first + len(Ports._fields)))
         with ExitStack() as held:
             try:
-                for port in range(first, first + _PORTS):
+                for port in ports:
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                         sock = held.enter_context(socket.socket(socket.AF_INET, kind))
                         local(sock)
                         sock.bind(("0.0.0.0", port))
             except OSError:
                 continue
-            return Ports(first)
+            return ports
     raise OSError("no row of free ports on loopback")
--- a/burlmoor/rig/fleet/record.py
+++ b/burlmoor/rig/fleet/record.py
@@ -44,7 +44,7 @@
     """What one node's process used."""
 
     cpu: float  # seconds
-    memory: int  # bytes resident, the most that was seen
+    memory: int  # bytes resident at the end
 
 
 class Record(msgspec.Struct):
@@ -66,6 +66,10 @@
     asked: list[Asked] = []
     ran: list[Ran] = []
 
+    def node_names(self) -> list[str]:
+        """The nodes, in the order of their numbers."""
+        return [f"n{number:03d}" for number in range(self.plan.nodes)]
+
     def names(self) -> list[str]:
         """The executors, in the order of their numbers."""
         return list(self.specs)
--- a/burlmoor/rig/fleet/relay.py
+++ b/burlmoor/rig/fleet/relay.py
@@ -21,7 +21,7 @@
 from burlmoor.rig.fleet.places import node as node_at
 from burlmoor.rig.fleet.told import lines, play
 from burlmoor.rig.fleet.troubles import Effect
-from burlmoor.rig.wire import Wire
+from burlmoor.rig.wire import Wire, connect
 
 _CHUNK = 65_536
 _AGAIN = 0.2  # seconds after which what was dropped is sent again, as TCP would
@@ -30,7 +30,7 @@
 class Plan(msgspec.Struct):
     """Where to listen."""
 
-    first_port: int
+    ports: Ports
     seed: int
 
 
@@ -38,7 +38,7 @@
     """Owns the listeners, the connections through them, and the effects of the moment."""
 
     def __init__(self, plan: Plan, nursery: trio.Nursery) -> None:
-        self._ports, self._nursery = Ports(plan.first_port), nursery
+        self._ports, self._nursery = plan.ports, nursery
         self._rng = random.Random(plan.seed)
         self._effects: list[Effect] = []
         self._changed = trio.Event()
@@ -78,12 +78,8 @@
             to = (
                 (executor_at(executor), self._ports.jobs) if forward else (node_at(node), self._ports.clients)
             )
-            sock = trio.socket.socket()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if forward:  # so that the executor knows who calls
-                await sock.bind((link(node, executor), 0))
-            far = trio.SocketStream(sock)
-            await sock.connect(to)
+            # From the link's own address, so that the executor knows who calls.
+            far = (await connect(to, link(node, executor) if forward else "")).stream
             async with trio.open_nursery() as both:
                 both.start_soon(self._pump, near, far, (node, executor, forward), both.cancel_scope)
                 both.start_soon(self._pump, far, near, (node, executor, not forward), both.cancel_scope)
--- a/burlmoor/rig/fleet/run.py
+++ b/burlmoor/rig/fleet/run.py
@@ -22,7 +22,7 @@
 from burlmoor.rig.fleet.record import Plan, Record, Span, Used
 from burlmoor.rig.fleet.troubles import DISCOVERY, EXECUTORS, LINK, NODES, Trouble, chosen, effects
 from burlmoor.rig.ledger import Asked, Ran
-from burlmoor.rig.node import call
+from burlmoor.rig.node import call, inherited
 from burlmoor.rig.town import KINDS, capacity, fleet, settings
 
 _READY, _PARTY = 90.0, 20.0  # seconds until all nodes, and any other party, must be up
@@ -60,7 +60,7 @@
             [zones[n % plan.zones] for n in range(plan.executors)],
             0.0,
         )  # fmt: skip
-        self._names = [f"n{number:03d}" for number in range(plan.nodes)]
+        self._names = self.record.node_names()
         self._numbers = {name: number for number, name in enumerate(specs)}
         self._nodes: dict[int, Child] = {}
         self._away: set[int] = set()  # nodes that were ended on purpose
@@ -71,7 +71,7 @@
         shared = len(cores) < 2 * _FAR
         self._node_cores = frozenset() if shared else frozenset(cores[_FAR:])
         self._far_cores = frozenset() if shared else frozenset(cores[:_FAR])
-        self._known = ""
+        self._known: dict[str, object] = {}
         self._discovery: Discovery
         self._addresses: list[str] = []
 
@@ -86,8 +86,8 @@
                 await self._start_nodes(range(self.plan.nodes))
                 self.record.started = time.monotonic() - began
                 self._say(f"{self.plan.nodes} nodes ready after {self.record.started:.1f} s")
-                await self._play(nursery, parts)
-                await self._gather(parts)
+                await self._play(parts)
+                await self._gather()
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
@@ -120,16 +120,16 @@
         return RuntimeError(f"a process of {sort} {what}\n{logs}")
 
     async def _stand_ins(self, parts: Parts) -> None:
-        record, first = self.record, self.ports.first
+        record, ports = self.record, self.ports
         for number in range(parts.relays):
-            self._party("relay", "relay", relay.Plan(first, self.plan.seed * 10 + number))
+            self._party("relay", "relay", relay.Plan(ports, self.plan.seed * 10 + number))
         if any(trouble.peers for trouble in self.plan.schedule.troubles):
-            self._party("switch", "switch", relay.Plan(first, self.plan.seed))
+            self._party("switch", "switch", relay.Plan(ports, self.plan.seed))
         names, shares = record.names(), max(1, min(parts.executors, self.plan.executors))
         for number in range(shares):
             own = {name: record.specs[name] for name in names[number::shares]}
             ledger = str(self._folder / f"ran-{number}.json")
-            self._party("executors", "executors", executors.Plan(first, own, self._numbers, ledger))
+            self._party("executors", "executors", executors.Plan(ports, own, self._numbers, ledger))
         for sort in ("relay", "switch", "executors"):
             for child in self._parties[sort]:
                 if not await child.said(_PARTY):
@@ -138,8 +138,9 @@
             dials = {n: f"{places.link(number, e)}:{self.ports.forwards}" for n, e in self._numbers.items()}
             self._addresses.append(await self._discovery.listen(name, dials))
         for name, zone in zip(names, record.executor_zones, strict=True):
-            size = record.specs[name].cores * record.specs[name].speed  # as the baselines know it, too
-            self._discovery.tell(name, site=zone, share=size)
+            # Its size, as the baselines know it, too.
+            self._discovery.tell(name, site=zone, share=record.specs[name].able)
+        self._known = {name: self._discovery.whole(name) for name in self._names}
 
     def _start_node(self, number: int) -> None:
         name, folder = self._names[number], self._folder / self._names[number]
@@ -151,27 +152,16 @@
             "discovery": self._addresses[number], "seed": f"{self.plan.seed:04x}{number:04x}",
             "settings": {**settings(KINDS, self.plan.nodes, zone), "Me": number},
             # A restart goes on from the list as it was when the run began.
-            "known": self._known_to(name), "limits": {"sockets": 1024},
+            "known": self._known[name], "limits": {"sockets": 1024},
         }  # fmt: skip
         path = folder / "config.json"
         path.write_text(json.dumps(given))
-        kept = {key: text for key, text in os.environ.items() if not key.startswith(("RELAY_", "BURLMOOR_"))}
         sabotage = self.plan.sabotage
         command = ["-m", "burlmoor"] if sabotage is None else ["-m", "burlmoor.rig.sabotage", sabotage]
-        environment = {**kept, "RELAY_CONFIG": str(path), "TMPDIR": str(folder)}
+        environment = {**inherited(), "RELAY_CONFIG": str(path), "TMPDIR": str(folder)}
         self._nodes[number] = Child(command, folder / "log", environment, cores=self._node_cores)
         self._away.discard(number)
 
-    def _known_to(self, name: str) -> object:
-        if not self._known:
-            self._known = json.dumps(self._discovery.whole(name))
-        told = json.loads(self._known)
-        dials = self._discovery.whole(name)["hosts"]
-        at = {each["host"]: each["dial"] for each in dials}
-        for each in told["hosts"]:
-            each["dial"] = at.get(each["host"], each["dial"])
-        return told
-
     async def _start_nodes(self, numbers: Iterable[int]) -> None:
         """Start nodes all at once, and wait until each takes jobs."""
         numbers = list(numbers)
@@ -197,12 +187,12 @@
 
     # --- the load and the troubles --------------------------------------------------------------
 
-    async def _play(self, nursery: trio.Nursery, parts: Parts) -> None:
+    async def _play(self, parts: Parts) -> None:
         record = self.record
         record.begin = now() + _LEAD * 1000.0
         for part in range(parts.clients):
             ledger = str(self._folder / f"asked-{part}.json")
-            plan = clients.Plan(self.ports.first, record.load, part, parts.clients, record.begin, ledger)
+            plan = clients.Plan(self.ports, record.load, part, parts.clients, record.begin, ledger)
             self._party("clients", "clients", plan)
         await trio.sleep(_LEAD)
         psutil.cpu_percent()
@@ -296,7 +286,7 @@
         span.until = now()
 
     def _order(self, do: str, name: str, size: float = 0.0) -> None:
-        order = msgspec.convert({"do": do, "names": [name], "size": size}, executors.Order)
+        order = msgspec.convert({"do": do, "name": name, "size": size}, executors.Order)
         party = self._parties["executors"]
         party[self._numbers[name] % len(party)].tell(order)
 
@@ -326,7 +316,7 @@
 
     # --- ending ---------------------------------------------------------------------------------
 
-    async def _gather(self, parts: Parts) -> None:
+    async def _gather(self) -> None:
         record = self.record
         for number, child in self._nodes.items():
             name = self._names[number]
--- a/burlmoor/rig/fleet/switch.py
+++ b/burlmoor/rig/fleet/switch.py
@@ -18,7 +18,7 @@
 import msgspec
 import trio
 
-from burlmoor.rig.fleet.places import Ports, ends, link, local
+from burlmoor.rig.fleet.places import ends, link, local
 from burlmoor.rig.fleet.places import node as node_at
 from burlmoor.rig.fleet.relay import Plan
 from burlmoor.rig.fleet.told import lines, play
@@ -77,7 +77,7 @@
     """Owns the socket and the datagrams on their way."""
 
     def __init__(self, plan: Plan) -> None:
-        self._ports, self.wayward = Ports(plan.first_port), Wayward(plan.seed)
+        self._ports, self.wayward = plan.ports, Wayward(plan.seed)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setsockopt(socket.IPPROTO_IP, _IP_PKTINFO, 1)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
--- a/burlmoor/rig/fleet/troubles.py
+++ b/burlmoor/rig/fleet/troubles.py
@@ -1,7 +1,7 @@
 """Troubles as data: what goes wrong, with whom, when; read from INI, drawn, written to play again.
 
-Pure: `Schedule.links(now)` says what is wrong between parties at a moment, the rest is events in order of
-time. Times are seconds from the beginning of the load.
+Pure: `effects` says what is wrong between parties at a moment, all others are events with a beginning and
+an end. Times are seconds from the beginning of the load.
 """
 
 from __future__ import annotations
--- a/burlmoor/rig/machine.py
+++ b/burlmoor/rig/machine.py
@@ -26,6 +26,17 @@
     cold_ms: float = 10_000.0  # until it is warm; it warms evenly
     progress_ms: float = 2000.0  # between notes on a running job; 0: none
 
+    @property
+    def able(self) -> float:
+        """Work done a ms when warm and busy."""
+        return self.cores * self.speed
+
+    def warmth(self, age: float) -> float:
+        """The share of its capacity that it has so many ms after it started."""
+        if self.cold_ms <= 0.0:
+            return 1.0
+        return min(1.0, self.cold_share + (1.0 - self.cold_share) * age / self.cold_ms)
+
 
 class Note(NamedTuple):
     """What a machine tells of a job: `started`, `running` with the share done, `done`."""
@@ -67,10 +78,7 @@
 
     def warmth(self, now: float) -> float:
         """The share of its capacity that it has by now."""
-        spec = self.spec
-        if spec.cold_ms <= 0.0:
-            return 1.0
-        return min(1.0, spec.cold_share + (1.0 - spec.cold_share) * (now - self._born) / spec.cold_ms)
+        return self.spec.warmth(now - self._born)
 
     def _pace(self) -> float:
         """Work done a ms for each job that runs."""
--- a/burlmoor/rig/node.py
+++ b/burlmoor/rig/node.py
@@ -51,8 +51,12 @@
         }  # fmt: skip
         path = self._folder / "config.json"
         path.write_text(json.dumps(given))
-        kept = {key: text for key, text in os.environ.items() if not key.startswith(("RELAY_", "BURLMOOR_"))}
-        environment = {**kept, **self.environment, "RELAY_CONFIG": str(path), "TMPDIR": str(self._folder)}
+        environment = {
+            **inherited(),
+            **self.environment,
+            "RELAY_CONFIG": str(path),
+            "TMPDIR": str(self._folder),
+        }
         if self.options is not None:
             (self._folder / "options.ini").write_text(self.options)
             environment["BURLMOOR_OPTIONS"] = str(self._folder / "options.ini")
@@ -112,6 +116,11 @@
                 await self.process.wait()
 
 
+def inherited() -> dict[str, str]:
+    """What a node's process takes over of this one's environment: nothing that would set it up."""
+    return {key: text for key, text in os.environ.items() if not key.startswith(("RELAY_", "BURLMOOR_"))}
+
+
 def _written(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/burlmoor/rig/sabotage.py
+++ b/burlmoor/rig/sabotage.py
@@ -92,12 +92,11 @@
 
 def _one_order() -> None:
     """All nodes look at executors in the same order, and take the first that seems to have room."""
-    from burlmoor.decide import SAMPLE, Reach  # noqa: PLC0415
+    from burlmoor.decide import Reach  # noqa: PLC0415
 
     def sample(self: Reach, _rng: Any, near: int, far: int) -> Any:
         return [*self.near, *self.far][: near + far]
 
-    assert SAMPLE > 0
     Reach.sample = sample  # type: ignore[assignment, method-assign]
     home = Reach.home
     Reach.home = lambda self, key: home(self, "one") if key else []  # type: ignore[method-assign]
--- a/burlmoor/rig/town.py
+++ b/burlmoor/rig/town.py
@@ -61,7 +61,7 @@
 
 def capacity(specs: Mapping[str, Spec]) -> float:
     """Work (ms on a core of speed 1) that warm executors do in a ms."""
-    return sum(spec.cores * spec.speed for spec in specs.values())
+    return sum(spec.able for spec in specs.values())
 
 
 def fleet(count: int, sizes: Sequence[tuple[float, int, float]] = SIZES, queue: int = 24) -> dict[str, Spec]:
--- a/burlmoor/rig/wire.py
+++ b/burlmoor/rig/wire.py
@@ -80,11 +80,13 @@
         sock.close()
 
 
-async def connect(address: tuple[str, int]) -> Wire:
-    """A connection to a loopback address; OSError where it is refused."""
+async def connect(address: tuple[str, int], source: str = "") -> Wire:
+    """A connection to a loopback address, from `source` if that is named; OSError where it is refused."""
     sock = trio.socket.socket()
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if source:
+            await sock.bind((source, 0))
         await sock.connect(address)
     except BaseException:
         sock.close()
--- a/tests/rig/test_fleet.py
+++ b/tests/rig/test_fleet.py
@@ -377,7 +377,7 @@
         ports = places.free_ports()
         child = Child(["-m", "burlmoor.rig.fleet.switch"], tmp_path / "log", talks=True)
         try:
-            child.tell(relay.Plan(ports.first, 1))
+            child.tell(relay.Plan(ports, 1))
             assert await child.said(20.0)
             with socket.socket(type=socket.SOCK_DGRAM) as one, socket.socket(type=socket.SOCK_DGRAM) as two:
                 for sock, node in ((one, 1), (two, 2)):
