Keep a watch's wait short and open a silent one anew before its news counts as told

All six nodes called discovery at 0.45 s (clock of their logs) with a wait of 8 s; the watches fell silent; drains were listed at 2.3 to 4.6 s. What such a call misses counts as told 2 s after its wait: at 10.45 s. n0: "10.461 discovery-failed TooSlowError() failures 1", then "11.099 discovery-back version 3"; n1 back at 11.665, n2 at 12.230, n5 at 11.947. First send to a leaving server 0.33 s after it counted as told; 16 in all. Every node gave up in the very moment in which the news counted, then slept a back-off of 0.3 to 1.8 s.

Ruled out: the path from the list to the send. All sends lie between the told moment and discovery-back; none after it.

At fault: Watch._ask in net/target_group.py (_WAIT_MS 8000 and _ANSWER_WITHIN 2.0 add up to the told moment; the sleep after it).

Change: wait 1 s, so that silence shows after 1.5 s of the 6 s; no back-off after it, but a spread over at most 2.5 s in fleets whose calls don't fit at once.

--- a/burlmoor/net/asking.py
+++ b/burlmoor/net/asking.py
@@ -10,6 +10,7 @@
 _A_CALL = 0.2  # what discovery is taken to need for one call
 _PATIENCE = 2.0  # how long a call waits in its turn at most before it fails
 _BACKOFF = (0.1, 2.0)  # before the first call after a failure, and at most, where a fleet is small
+_SILENT = 2.5  # spread of a fleet's calls after a silence that shows after 1.5 s, of the 6 s less _PATIENCE
 _WITHIN = 0.8  # of the time within which a node has to ask
 
 
@@ -36,3 +37,7 @@
     def after(self, failures: int) -> float:
         """How long to wait after so many failures in a row, from 1."""
         return min(self._most, self._first * 2.0 ** min(failures - 1, 16)) * self._rng.uniform(0.5, 1.0)
+
+    def after_silence(self) -> float:
+        """How long to wait before the call that opens a watch anew, where it has fallen silent."""
+        return self._rng.uniform(0.0, min(_SILENT, self.spread))
--- a/burlmoor/net/target_group.py
+++ b/burlmoor/net/target_group.py
@@ -16,8 +16,12 @@
 from burlmoor.net.target import BrokenReply
 
 _PATH = b"/registry/instances"
-_WAIT_MS = 8000  # a watch's wait: what a lost answer held counts as told 2 s after it
-_ANSWER_WITHIN = 2.0  # seconds that discovery may take beyond the wait
+# What a watch that falls silent misses counts as told 6 s after that, or 2 s after its call's wait is over if
+# that is later. So the wait is short: an overdue answer shows soon enough for a new call to come through, and
+# for a whole fleet's. A call that goes on from an answer costs discovery no turn.
+_WAIT_MS = 1000
+_FIRST_WITHIN = 2.0  # seconds that a first call may stand in its turn at discovery, beyond the wait
+_NEXT_WITHIN = 0.5  # seconds that the answer to a later call of a watch may take beyond the wait
 _STATES = {"active": m.State.LIVE, "leaving": m.State.DRAINING, "left": m.State.GONE}
 _HEALTH = {state: health for health, state in _STATES.items()}
 
@@ -190,6 +194,7 @@
         self._group, self._pool, self._dial, self._asking, self._say = group, pool, dial, asking, say
         self._failures = 0
         self._whole = False
+        self._watching = False  # whether the last call was answered, so that the next goes on from it
         self._turn = trio.CancelScope()
 
     def move(self, dial: str) -> None:
@@ -199,7 +204,7 @@
         self._pool.drop(self._dial)
         self._dial = dial
         # Its versions need not go on from the old one's, so the first call there asks for the whole list.
-        self._failures, self._whole = 0, True
+        self._failures, self._whole, self._watching = 0, True, False
         self._turn.cancel()
 
     def subscribe(self) -> None:
@@ -221,10 +226,18 @@
     async def _ask(self) -> None:
         """One call, and the wait after it if it failed."""
         whole = self._whole or self._group.version is None
+        # A new watch is answered within its wait; only a whole list is answered at once.
+        within = (_NEXT_WITHIN if self._watching else _FIRST_WITHIN) + (0.0 if whole else _WAIT_MS / 1000.0)
+        watched, self._watching = self._watching, False
         try:
-            # A new watch is answered within its wait; only a whole list is answered at once.
-            with trio.fail_after(_ANSWER_WITHIN + (0.0 if whole else _WAIT_MS / 1000.0)):
+            with trio.fail_after(within):
                 self._group.apply(await self._call(whole))
+        except trio.TooSlowError:
+            # Guards the drain rule: silence is no sign of a crowd at discovery, and what it holds back counts
+            # as told soon. A fleet that may have fallen silent as one spreads its calls, within that time.
+            self._failures += 1
+            self._say("discovery-failed", error="silent", failures=self._failures)
+            await trio.sleep(self._asking.after_silence() if watched else self._asking.after(self._failures))
         except Exception as error:  # whatever it is, the node goes on with the list it has
             self._failures += 1
             self._say("discovery-failed", error=repr(error), failures=self._failures)
@@ -232,7 +245,7 @@
         else:
             if self._failures:
                 self._say("discovery-back", failures=self._failures, version=self._group.version)
-            self._failures = 0
+            self._failures, self._watching = 0, True
             self._whole = self._whole and not whole  # asked for again until it has come
 
     async def _call(self, whole: bool) -> bytes:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -44,8 +44,10 @@
         self.open: list[Wire] = []  # connections of executors
         self.dials: dict[str, str] = {}
         self.watches: list[Wire] = []
+        self.silent = False  # whether watches get no answer even when their wait is over
         self.left: list[Wire] = []  # calls to discovery whose connection the node has ended
         self.asked: list[str] = []
+        self.heard: list[Wire] = []  # whose call each was
         self.kept: list[Wire] = []  # clients' connections that a story holds open without looking at them
         self.news = trio.Event()
 
@@ -103,14 +105,30 @@
     async def discovery(self) -> str:
         async def serve(wire: Wire) -> None:
             while (message := await wire.read()) is not None:
-                self.asked.append(message.start.split()[1])
+                path = message.start.split()[1]
+                self.asked.append(path)
+                self.heard.append(wire)
                 self.watches.append(wire)
                 self.happened()
+                self.nursery.start_soon(self._nothing_new, wire, len(self.heard), path)
             self.left.append(wire)
             self.happened()
 
         return await self.listen(serve)
 
+    async def _nothing_new(self, wire: Wire, number: int, path: str) -> None:
+        """Answer a watch when its wait is over, unless a story has answered it."""
+        _, _, wait = path.partition("&wait_ms=")
+        if not wait:
+            return
+        await trio.sleep(float(wait) / 1000.0)
+        after = path.partition("after=")[2].partition("&")[0]
+        if wire in self.watches and not self.silent and wire not in self.heard[number:]:
+            self.watches.remove(wire)
+            body = json.dumps({"seq": int(after), "whole": False, "hosts": []}).encode()
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await wire.write("HTTP/1.1 200 OK", body)
+
     def listed(self, seq: int, whole: bool = True, **states: str) -> dict[str, Any]:
         hosts = [
             {"host": name, "dial": self.dials[name], "site": "a", "class": "m", "block": 1, "share": 4.0,
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -193,7 +193,7 @@
     async def story(made: Stage) -> None:
         await made.publish(2, False, e0="leaving")
         await made.until(lambda: len(made.asked) > 1)
-        assert made.asked[:2] == [f"/registry/instances?after={seq}&wait_ms=8000" for seq in (1, 2)]
+        assert made.asked[:2] == [f"/registry/instances?after={seq}&wait_ms=1000" for seq in (1, 2)]
         wires = [await made.submit("once", f"a{ref}") for ref in range(3)]
         await made.until(lambda: len(made.jobs) == len(wires))
         assert {name for name, _ in made.jobs} == {"e1"}
@@ -255,6 +255,23 @@
     assert sum("discovery-failed" in line for line in lines) == 3
 
 
+def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() -> None:
+    # A silent watch looks like one with no news. What it missed counts as told 6 s after it fell silent, or
+    # 2 s after its call's wait is over, if that is later.
+    async def story(made: Stage) -> None:
+        await made.publish(5, e0="active", e1="active")
+        made.silent = True
+        await made.until(lambda: made.watches)
+        silent, asked, began = made.watches.pop(), made.asked[-1], trio.current_time()
+        wait = float(asked.partition("wait_ms=")[2]) / 1000.0
+        await made.publish(6, False, e0="leaving")  # to the call after that one: nothing else comes
+        await made.until(lambda: made.node.group.live("e0") is None)
+        assert trio.current_time() < began + max(6.0, wait + 2.0)
+        await made.until(lambda: silent in made.left)
+
+    play(story)
+
+
 @pytest.mark.parametrize("waiting", ["for an answer", "after failures"])
 def test_discovery_that_moves_is_asked_for_the_whole_list_at_once(waiting: str, tmp_path: Path) -> None:
     async def story(made: Stage) -> None:
@@ -279,7 +296,7 @@
         # Its versions may be lower, but what drains does not come back without a new start.
         await made.publish(3, e0="active", e1="active")
         await made.until(lambda: len(made.asked) > 1)
-        assert made.asked[1] == "/registry/instances?after=3&wait_ms=8000"
+        assert made.asked[1] == "/registry/instances?after=3&wait_ms=1000"
         assert made.node.group.live("e0") is None
         assert made.node.group.live("e1") is not None
         await made.tell("done", "kept")
