Send a job elsewhere only once its executor has heard that it is given up

Ruled out: the module (it sends only once it has been told CANCELLED); forwards before their 202 (closed connection).

At fault: Core._cancel told the module CANCELLED before the give-up had gone out; Forwards._delete swallowed what became of it.

Change: where second copies are barred, CANCELLED is told once the DELETE was answered, or the target refuses connections (its process is gone). Else the forward stays out; the module asks again after each silence. Answers are not delayed.

--- a/burlmoor/core.py
+++ b/burlmoor/core.py
@@ -153,7 +153,7 @@
         """Start the forward; `Core.ended` is told how it ends."""
 
     def abandon(self, forward: Forward) -> None:
-        """Nobody waits for this forward any more: give it up at the target."""
+        """Nobody waits for this forward any more: give it up at the target; `Core.given_up` is told."""
 
     def probe(self, target: str) -> None:
         """Look at a target; `Core.probed` is told."""
@@ -321,6 +321,10 @@
         self._post(m.Ended(job.number, forward.number, forward.target, outcome, elapsed, job.over))
         self._forget(job)
 
+    def given_up(self, forward: Forward) -> None:
+        """The target has heard that nobody waits for this forward any more, or can hold nothing."""
+        self.ended(forward, m.Outcome.CANCELLED)
+
     def listed(self, form: m.Form, entries: Iterable[m.Entry]) -> None:
         """Discovery has spoken."""
         self._post(m.Members(form, list(entries)))
@@ -495,9 +499,13 @@
         job = self._jobs.get(action.id)
         if job is not None and 0 <= action.attempt < len(job.forwards):
             forward = job.forwards[action.attempt]
-            if not forward.over:
+            if forward.over:
+                return
+            if job.over or self.settings.limits.second_copies:
                 self.ended(forward, m.Outcome.CANCELLED)
-                self.targets.abandon(forward)
+            # Guards rule 2: elsewhere the job may go again only once this forward has been given up, and a
+            # target that can't be reached does not hear of it.
+            self.targets.abandon(forward)
 
     def _answer(self, job: Job, answer: Answer) -> None:
         self._close(job, answer)
--- a/burlmoor/model/world.py
+++ b/burlmoor/model/world.py
@@ -378,9 +378,10 @@
         for attempt in reversed(self.world.attempts):
             if attempt.id == forward.job.id and attempt.executor == forward.target:
                 if attempt.known is None:
-                    attempt.known, attempt.known_at = forward.end, self.world.now
+                    attempt.known, attempt.known_at = forward.end or m.Outcome.CANCELLED, self.world.now
                 break
         self.world.at(self.world.now + self.world.town.net, lambda: self.world.give_up(forward))
+        self.world.at(self.world.now + 2.0 * self.world.town.net, lambda: self.core.given_up(forward))
 
     def probe(self, target: str) -> None:
         """Look at an executor."""
--- a/burlmoor/net/forwards.py
+++ b/burlmoor/net/forwards.py
@@ -62,6 +62,7 @@
         exchange = self._exchanges.get(forward)
         if exchange is not None and not exchange.taken:
             exchange.scope.cancel()
+            self._core.given_up(forward)
         else:
             self.closing += 1
             self._nursery.start_soon(self._delete, forward)
@@ -147,8 +148,12 @@
             if dial:
                 with trio.move_on_after(_GIVE_UP_WITHIN):
                     await self._pool.call(dial, b"DELETE", path)
-        except (NotConnected, NotSent, BrokenReply):
-            return  # the target is gone, and the job with it
+                    self._core.given_up(forward)
+        except NotConnected as error:
+            if error.refused:  # the process is gone, and the job with it
+                self._core.given_up(forward)
+        except (NotSent, BrokenReply):
+            return  # whether the target has heard is not known: the module gives it up again
         except Exception as error:
             # Guards against one call's fault ending the node.
             self._say("forward-failed", target=forward.target, error=repr(error))
--- a/burlmoor/net/pool.py
+++ b/burlmoor/net/pool.py
@@ -7,7 +7,7 @@
 from burlmoor.net.stream import OUT_OF_SOCKETS, Stream, connect
 from burlmoor.net.target import BrokenReply, Reply, TargetConnection
 
-_LIMIT = 256 * 1024
+_LIMIT = 256 * 1024  # bytes of an answer: an executor's body holds 64 KiB at most
 _STALE_WITHIN = 0.25  # seconds after a request is written in which a connection that was dead breaks
 _WARY = 30.0  # seconds for which a broken one tells how long others may lie idle
 
@@ -15,6 +15,8 @@
 class NotConnected(Exception):
     """No connection came up: whatever was to be sent has not been."""
 
+    refused = False  # whether the target's machine answered that nothing listens there
+
 
 class NotSent(Exception):
     """The connection broke before the request's last byte was written: it has not run."""
@@ -25,7 +27,7 @@
 
     def __init__(self, pool: Pool, dial: str, stream: Stream) -> None:
         self._pool, self.dial, self._stream = pool, dial, stream
-        self._http = TargetConnection(dial, _LIMIT)
+        self._http = TargetConnection(dial, pool.limit)
         self.used = False
         self.idle_since = self.taken_at = 0.0
 
@@ -78,8 +80,9 @@
 class Pool:
     """Owns the idle connections, freshest last, and the count of all of them."""
 
-    def __init__(self, idle_limit: float, connect_timeout: float, size: int) -> None:
+    def __init__(self, idle_limit: float, connect_timeout: float, size: int, limit: int = _LIMIT) -> None:
         self.idle_limit, self._connect_timeout, self.size = idle_limit, connect_timeout, size
+        self.limit = limit  # bytes of one answer
         self._idle: dict[str, list[Link]] = {}
         self._shorter, self._shorter_until = idle_limit, 0.0
         self.open = 0
@@ -128,13 +131,15 @@
         stream: Stream | None = None
         try:
             with trio.fail_after(self._connect_timeout):
-                stream = await connect(dial, _LIMIT)
+                stream = await connect(dial, self.limit)
         except trio.TooSlowError as error:
             raise NotConnected("timed out") from error
         except OSError as error:
             if error.errno in OUT_OF_SOCKETS:
                 self.spare()
-            raise NotConnected(str(error)) from error
+            fault = NotConnected(str(error))
+            fault.refused = isinstance(error, ConnectionRefusedError)
+            raise fault from error
         except ValueError as error:
             raise NotConnected(str(error)) from error
         finally:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -162,6 +162,25 @@
     assert client.answers == []
 
 
+@pytest.mark.parametrize("copies", [False, True])
+def test_where_copies_are_barred_a_job_goes_again_only_once_it_has_been_given_up(copies: bool) -> None:
+    world = World(limits=m.Limits(attempts=4, cancel=True, second_copies=copies))
+    _, forward = world.placed(work=2000.0)
+    world.core.started(forward)  # and then nothing: an executor that cannot be reached, say
+    for _ in range(80):
+        if not copies and world.abandoned:
+            break
+        world.run(50.0)
+    if copies:
+        assert len(world.sent) > 1
+        return
+    world.run(300.0)
+    assert (world.abandoned[0], world.sent) == (forward, [forward])
+    world.core.given_up(forward)
+    world.run(100.0)
+    assert [each.target == forward.target for each in world.sent] == [True, False]
+
+
 def test_an_id_in_use_is_not_taken_twice() -> None:
     world = World()
     world.ask()
