Make the watch a state machine, hear agents within the drain rule, and take lists of any size

Change: net/watching.py owns a watch's life, pure: how a call ended, when the next is due, when an answer is overdue, with all constants and their sum in one place; net/watch.py is the driver; TargetGroup is left with the list. Siblings mended: an agent (pushed lists) that was silent was asked again after up to 2 s, though its news counts at its return, now within 0.2 s; a new process takes clients only once its agent has answered, or after 0.2 s; a first call that falls silent is a silent watch too. A bad entry of a list is passed over with one log line, so that it keeps no drain from being heard; an empty whole list is not believed. Lists 4 MiB (256 KiB), the handover in parts up to 16 MiB (160 KiB), operators' answers 1 MiB.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -17,14 +17,15 @@
 from burlmoor.clock import Clock
 from burlmoor.core import Core
 from burlmoor.log import Log
-from burlmoor.net.asking import Asking
 from burlmoor.net.control import Control
 from burlmoor.net.forwards import Forwards
 from burlmoor.net.front import Front
 from burlmoor.net.pool import Pool
 from burlmoor.net.serving import Service, Serving
 from burlmoor.net.stream import listening
-from burlmoor.net.target_group import TargetGroup, Watch
+from burlmoor.net.target_group import TargetGroup
+from burlmoor.net.watch import Watch
+from burlmoor.net.watching import Watching
 from burlmoor.operators import Desk
 from burlmoor.succession import Succession
 
@@ -34,7 +35,9 @@
 
 _SPARE_SOCKETS = 64  # descriptors for what is neither a client's nor a target's connection
 _FOR_DISCOVERY = 4
+_LIST_LIMIT = 4 << 20  # bytes of a list: over 8,000 executors, indented; memory is taken as a list needs it
 _TARGETS_PART = 0.3  # of the rest: a forward holds a connection only until its 202
+_AGENT_WITHIN = 0.2  # seconds that an agent may take for the first list, before clients are taken
 _IDLE_PART = 0.4  # of the time after which a target's machine closes an idle connection
 # Seconds after SIGTERM: until clients may still come, and when whatever came after that is answered, well
 # before a SIGKILL (3.7 at the earliest).
@@ -53,14 +56,14 @@
         targets = int(sockets * _TARGETS_PART)
         timeout = decisions.limits.connect_timeout / 1000.0
         self.pool = Pool(given.settings.keepalive / 1000.0 * _IDLE_PART, timeout, targets)
-        self.group = TargetGroup(self.core, self.pool, clock.from_unix)
+        self.group = TargetGroup(self.core, self.pool, clock.from_unix, log)
         self.forwards = Forwards(self.core, self.group, self.pool, nursery, clock, log)
         rng = random.Random(given.seed + 1)
         # Discovery has connections of its own: forwards that hang must not keep drains from being told.
-        self.lists = Pool(self.pool.idle_limit, timeout, _FOR_DISCOVERY)
+        self.lists = Pool(self.pool.idle_limit, timeout, _FOR_DISCOVERY, _LIST_LIMIT)
         within, pushed = decisions.rules.ask_within / 1000.0, not decisions.must_ask
-        asking = Asking(decisions.balancers, within, rng, pushed)
-        self.watch = Watch(self.group, self.lists, given.discovery, asking, log)
+        life = Watching(decisions.balancers, within, pushed, rng)
+        self.watch = Watch(self.group, self.lists, given.discovery, life, log)
         self.core.targets, self.core.target_list = self.forwards, self.watch
         classes = [each.name for each in decisions.classes]
         self.group.start_from(given.known)
@@ -104,6 +107,10 @@
         # The list of the process before this one counts as told here too, and the watch goes on from it.
         await self.succession.approach()
         self._nursery.start_soon(self.watch.run)
+        if not self._given.settings.decisions.must_ask:
+            # Guards the drain rule: what the agent has counts as told before this process has sent anything.
+            with trio.move_on_after(_AGENT_WITHIN):
+                await self.watch.answered.wait()
         await self.succession.run()
 
     def _wake(self) -> None:
--- a/burlmoor/cli/drill.py
+++ b/burlmoor/cli/drill.py
@@ -16,8 +16,9 @@
 from burlmoor.rig.drill import Ask, Drill, Verdict
 from burlmoor.rig.drill_spread import SPREAD
 from burlmoor.rig.drill_waiting import WAITING
+from burlmoor.rig.drill_watch import WATCH
 
-DRILLS: dict[str, Drill] = {"waiting": WAITING, "spread": SPREAD}
+DRILLS: dict[str, Drill] = {"waiting": WAITING, "spread": SPREAD, "watch": WATCH}
 
 
 def told(verdict: Verdict) -> None:
--- a/burlmoor/net/control.py
+++ b/burlmoor/net/control.py
@@ -12,7 +12,7 @@
 from burlmoor.net.stream import Stream, accept, listening
 
 _HEAD_LIMIT, _BODY_LIMIT = 4096, 4096
-_ANSWER_LIMIT = 16 * 1024
+_ANSWER_LIMIT = 1 << 20  # every executor may be out by hand, and is named; memory is taken as it is needed
 _CALL_LIMIT = 0.7  # seconds that a call may take to come in: its answer is due within 1 s
 _LINGER = 0.1  # seconds for an answer to reach a caller that still writes
 _PLACES = 12  # calls at a time; the one that came first makes room
--- a/burlmoor/net/peer.py
+++ b/burlmoor/net/peer.py
@@ -18,7 +18,9 @@
 from burlmoor.operators import ByHandSet
 
 VERSION = 2
-_MESSAGE_LIMIT = 160 * 1024  # a call-back's body is 64 KiB at most; a list is far shorter
+_MESSAGE_LIMIT = 160 * 1024  # bytes of one datagram; the kernel takes little more
+_WHOLE_LIMIT = 16 << 20  # of a message in parts: what is known of thousands of executors
+_PART = 128 * 1024
 _QUEUE_LIMIT = 2048  # messages that wait to go out: a peer that reads nothing is as good as gone
 _PENDING_LIMIT = 1024  # questions without an answer
 _PATH_LIMIT = 100  # bytes that the kernel takes of a Unix socket's path
@@ -86,7 +88,14 @@
     age: float  # seconds since the accept
 
 
-Message = Hello | Snapshot | Accepting | Holds | Opened | Obey | CalledBack | Taken | Client
+class Part(msgspec.Struct, tag=True):
+    """Either way: a piece of a message that does not fit into one datagram; the last one says so."""
+
+    data: bytes
+    last: bool
+
+
+Message = Hello | Snapshot | Accepting | Holds | Opened | Obey | CalledBack | Taken | Client | Part
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
 
@@ -115,6 +124,7 @@
         self._flushing = False
         self._numbers = 0
         self._pending: dict[int, trio.Event] = {}
+        self._parts = bytearray()  # of a message that is not whole yet
 
     @property
     def alive(self) -> bool:
@@ -131,9 +141,15 @@
         if self._sock is None:
             return False
         data = _ENCODER.encode(message)
-        if len(data) > _MESSAGE_LIMIT or len(self._queue) >= _QUEUE_LIMIT:
+        if len(data) > _WHOLE_LIMIT or len(self._queue) >= _QUEUE_LIMIT:
             return False
-        self._queue.append((data, sock))
+        if len(data) <= _MESSAGE_LIMIT:
+            self._queue.append((data, sock))
+        else:
+            # Only what carries no connection is ever so long. Its parts follow each other in the queue.
+            for at in range(0, len(data), _PART):
+                part = Part(data[at : at + _PART], at + _PART >= len(data))
+                self._queue.append((_ENCODER.encode(part), None))
         if not self._flushing:
             self._flush()
         return True
@@ -217,6 +233,13 @@
             if not data or how & socket.MSG_TRUNC:
                 return False
             message = _DECODER.decode(data)
+            if isinstance(message, Part):
+                self._parts += message.data
+                if len(self._parts) > _WHOLE_LIMIT:
+                    return False
+                if not message.last:
+                    return True
+                message, self._parts = _DECODER.decode(self._parts), bytearray()
         except BaseException:
             if sock is not None:
                 sock.close()
--- a/burlmoor/net/target_group.py
+++ b/burlmoor/net/target_group.py
@@ -1,4 +1,4 @@
-"""Discovery's list: the targets, their addresses and states, and the watch on changes."""
+"""Discovery's list: the targets, their addresses and states, and what operators have laid over it."""
 
 from __future__ import annotations
 
@@ -7,21 +7,12 @@
 from typing import NamedTuple
 
 import msgspec
-import trio
 
 from burlmoor import messages as m
 from burlmoor.core import Core, Say
-from burlmoor.net.asking import Asking
 from burlmoor.net.pool import Pool
-from burlmoor.net.target import BrokenReply
-
-_PATH = b"/registry/instances"
-# What a watch that falls silent misses counts as told 6 s after that, or 2 s after its call's wait is over if
-# that is later. So the wait is short: an overdue answer shows soon enough for a new call to come through, and
-# for a whole fleet's. A call that goes on from an answer costs discovery no turn.
-_WAIT_MS = 1000
-_FIRST_WITHIN = 2.0  # seconds that a first call may stand in its turn at discovery, beyond the wait
-_NEXT_WITHIN = 0.5  # seconds that the answer to a later call of a watch may take beyond the wait
+from burlmoor.net.stream import address
+
 _STATES = {"active": m.State.LIVE, "leaving": m.State.DRAINING, "left": m.State.GONE}
 _HEALTH = {state: health for health, state in _STATES.items()}
 
@@ -45,6 +36,7 @@
     hosts: list[_Host] = []
 
 
+_NAMED = 8  # targets that a log line names
 _DECODER = msgspec.json.Decoder(HostList | None)
 
 
@@ -56,6 +48,24 @@
     born: float
 
 
+def _leaves(host: _Host) -> bool:
+    return _STATES.get(host.health, m.State.GONE) is not m.State.LIVE
+
+
+def _fault(host: _Host, known: dict[str, _Host]) -> str | None:
+    """What of an entry that wants jobs cannot be meant: the field and why."""
+    if not host.host:
+        return "host: empty"
+    if not host.share >= 0.0:
+        return f"share: {host.share} is no weight"
+    dial = host.dial or (known[host.host].dial if host.host in known else "")
+    try:
+        address(dial)
+    except ValueError as error:
+        return f"dial: {error}"
+    return None
+
+
 class ByHand(msgspec.Struct):
     """What operators have set of targets; times are Unix times in ms."""
 
@@ -66,8 +76,8 @@
 class TargetGroup:
     """Owns the list as this node has it, its version, and what operators have laid over it."""
 
-    def __init__(self, core: Core, pool: Pool, from_unix: Callable[[float], float]) -> None:
-        self._core, self._pool, self._from_unix = core, pool, from_unix
+    def __init__(self, core: Core, pool: Pool, from_unix: Callable[[float], float], say: Say) -> None:
+        self._core, self._pool, self._from_unix, self._say = core, pool, from_unix, say
         self._targets: dict[str, Target] = {}
         self._hosts: dict[str, _Host] = {}
         self.by_hand = ByHand()
@@ -137,14 +147,57 @@
             self._core.listed(m.Form.FULL, self._entries(given.hosts))
 
     def apply(self, body: bytes) -> None:
-        """Take in an answer of discovery; ValueError if it is not one."""
+        """Take in an answer of discovery; ValueError naming the field, and nothing changed, if it is none."""
         given = _DECODER.decode(body)
         if given is None:
             raise ValueError("not a list")
+        if (
+            given.whole
+            and not given.hosts
+            and any(each.state is m.State.LIVE for each in self._targets.values())
+        ):
+            # A registry that has just started knows nobody. Those who have left refuse connections anyway.
+            raise ValueError("hosts: empty, though executors were listed")
+        given.hosts = self._usable(given.hosts)
+        live = {name for name, each in self._targets.items() if each.state is m.State.LIVE}
         self._apply(given)
+        leaving = [name for name in live if self._state_of(name) is not m.State.LIVE]
+        if leaving:
+            self._say(
+                "targets-leaving", count=len(leaving), names=sorted(leaving)[:_NAMED], version=given.seq
+            )
         if given.whole or given.hosts:
             self._core.listed(m.Form.FULL if given.whole else m.Form.CHANGES, self._entries(given.hosts))
 
+    def _state_of(self, name: str) -> m.State:
+        target = self._targets.get(name)
+        return target.state if target else m.State.GONE
+
+    def _usable(self, hosts: list[_Host]) -> list[_Host]:
+        """The entries that can be meant, one a host.
+
+        Guards the drain rule: one bad entry must not keep the others' drains from being heard, nor undo one.
+        """
+        found: dict[str, _Host] = {}
+        faults: list[str] = []
+        for number, host in enumerate(hosts):
+            before = found.get(host.host)
+            if before is not None:
+                faults.append(f"hosts[{number}].host: {host.host!r} is there twice")
+                if (host.born_ms, _leaves(host)) <= (before.born_ms, _leaves(before)):
+                    continue
+            elif not _leaves(host):
+                fault = _fault(host, self._hosts)
+                if fault:
+                    faults.append(f"hosts[{number}].{fault}")
+                    if host.host in self._hosts:
+                        found[host.host] = self._hosts[host.host]
+                    continue
+            found[host.host] = host
+        if faults:
+            self._say("list-entries-bad", error=faults[0], count=len(faults))
+        return list(found.values())
+
     def _apply(self, given: HostList) -> None:
         if given.whole:
             names = {host.host for host in given.hosts}
@@ -185,72 +238,3 @@
     def _state(self, host: _Host) -> m.State:
         state = _STATES.get(host.health, m.State.GONE)
         return m.State.DRAINING if state is m.State.LIVE and host.host in self.by_hand.out else state
-
-
-class Watch:
-    """Owns the calls to discovery: one at a time, the next at once after each answer."""
-
-    def __init__(self, group: TargetGroup, pool: Pool, dial: str, asking: Asking, say: Say) -> None:
-        self._group, self._pool, self._dial, self._asking, self._say = group, pool, dial, asking, say
-        self._failures = 0
-        self._whole = False
-        self._watching = False  # whether the last call was answered, so that the next goes on from it
-        self._turn = trio.CancelScope()
-
-    def move(self, dial: str) -> None:
-        """Discovery is at another address from now on: ask there at once, whatever was under way."""
-        if dial == self._dial:
-            return
-        self._pool.drop(self._dial)
-        self._dial = dial
-        # Its versions need not go on from the old one's, so the first call there asks for the whole list.
-        self._failures, self._whole, self._watching = 0, True, False
-        self._turn.cancel()
-
-    def subscribe(self) -> None:
-        """The watch runs from the start and never ends, so the module's wish is met already."""
-
-    def fetch(self) -> None:
-        """Ask for the whole list with the next call."""
-        self._whole = True
-
-    async def run(self) -> None:
-        """Watch until cancelled."""
-        with trio.CancelScope() as self._turn:
-            if self._group.version is not None:
-                await trio.sleep(self._asking.at_start())
-        while True:
-            with trio.CancelScope() as self._turn:  # ended early where discovery moves
-                await self._ask()
-
-    async def _ask(self) -> None:
-        """One call, and the wait after it if it failed."""
-        whole = self._whole or self._group.version is None
-        # A new watch is answered within its wait; only a whole list is answered at once.
-        within = (_NEXT_WITHIN if self._watching else _FIRST_WITHIN) + (0.0 if whole else _WAIT_MS / 1000.0)
-        watched, self._watching = self._watching, False
-        try:
-            with trio.fail_after(within):
-                self._group.apply(await self._call(whole))
-        except trio.TooSlowError:
-            # Guards the drain rule: silence is no sign of a crowd at discovery, and what it holds back counts
-            # as told soon. A fleet that may have fallen silent as one spreads its calls, within that time.
-            self._failures += 1
-            self._say("discovery-failed", error="silent", failures=self._failures)
-            await trio.sleep(self._asking.after_silence() if watched else self._asking.after(self._failures))
-        except Exception as error:  # whatever it is, the node goes on with the list it has
-            self._failures += 1
-            self._say("discovery-failed", error=repr(error), failures=self._failures)
-            await trio.sleep(self._asking.after(self._failures))
-        else:
-            if self._failures:
-                self._say("discovery-back", failures=self._failures, version=self._group.version)
-            self._failures, self._watching = 0, True
-            self._whole = self._whole and not whole  # asked for again until it has come
-
-    async def _call(self, whole: bool) -> bytes:
-        path = _PATH if whole else b"%s?after=%d&wait_ms=%d" % (_PATH, self._group.version or 0, _WAIT_MS)
-        reply = await self._pool.call(self._dial, b"GET", path)
-        if reply.status != 200:
-            raise BrokenReply(f"status {reply.status}")
-        return reply.body
--- /dev/null
+++ b/burlmoor/net/watching.py
@@ -0,0 +1,135 @@
+"""The life of a node's watch on discovery: when it calls, what for, and when an answer is overdue.
+
+Pure: no socket and no clock. It is told how each call ended and says what the next one is. All times are in
+seconds.
+
+What this rests on, of the protocol: what a watch that has fallen silent misses counts as told `_TOLD` after
+it fell silent, or `_TOLD_AFTER_WAIT` after its call's wait is over, if that is later. A silent watch looks as
+one without news does, so all that shows it is an answer that is overdue. A watch's wait, the allowance for a
+late answer, the spread of a fleet that has fallen silent as one, and the new calls' turn at discovery have to
+fit:
+
+    wait 1.0 + late 0.5 + spread 2.5 + turn 2.0 = _TOLD
+
+and the drain rule's 250 ms are left for what else may be slow. A call that goes on from an answer stands in
+no queue and costs discovery nothing, so the wait may be short.
+
+Where lists are pushed, the address is an agent on this machine that answers at once and at no cost. What it
+has counts as told, watch or no watch, so nothing is spread or put off there: a call that went wrong is made
+anew well within the drain rule's 250 ms, and until the agent answers again its calls wait no longer either.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from typing import NamedTuple
+
+_TOLD, _TOLD_AFTER_WAIT = 6.0, 2.0
+_WAIT, _LATE = 1.0, 0.5
+_TURN = 2.0  # how long a call waits in its turn at discovery at most before it fails there
+_A_CALL = 0.2  # what discovery is taken to need for one call
+_BACKOFF = (0.1, 2.0)  # before the first call after a failure, and at most, where a fleet is small
+_WITHIN = 0.8  # of the time within which a node has to ask
+_IN_DOUBT = 0.1  # the wait of calls that open a watch anew: whether they are answered shows soon
+_AGENT_AGAIN = _AGENT_LATE = (
+    0.1  # before a new call to an agent that failed; the allowance while it is silent
+)
+
+
+class End(enum.Enum):
+    """How a call to discovery ended."""
+
+    ANSWERED = enum.auto()  # with a list
+    SILENT = enum.auto()  # nothing came in time
+    FAILED = enum.auto()  # refused, reset, 503
+    UNREADABLE = enum.auto()  # with something that is no list
+
+
+class Call(NamedTuple):
+    """The next call: when, what for, and how long its answer may take."""
+
+    at: float
+    whole: bool  # for the whole list, else a watch
+    wait: float  # how long a watch may wait for news
+    within: float
+
+
+class Watching:
+    """Owns what is known of the watch. `next` says which call is due, `ended` hears what became of it."""
+
+    def __init__(self, balancers: int, ask_within: float, pushed: bool, rng: random.Random) -> None:
+        self._pushed, self._rng = pushed, rng
+        most = _WITHIN * ask_within
+        # Guards against a herd: what a fleet asks at once fills the queue, every call there then waits until
+        # it fails, and calls made again after a moment keep it full. A fleet whose calls fit asks at once.
+        self.spread = 0.0 if pushed else max(0.0, min(most, _A_CALL * balancers - _TURN))
+        self._first, self._most = max(_BACKOFF[0], self.spread / 4.0), max(_BACKOFF[1], self.spread)
+        self.failures = 0  # in a row
+        self._whole = self._asked_whole = False  # wanted with the next call; asked for with the last
+        self._at = 0.0  # when the next call is due
+        self._open = False  # whether the last call was answered, so that the next goes on from it
+        self._doubt = False  # whether the watch has broken, or an agent is silent
+        self._lost_at: float | None = None  # since when a silent watch may have missed something
+        self._made = self._heard = 0.0  # when the last call was made, and the last answer came
+
+    def begin(self, now: float, has_list: bool) -> None:
+        """The node starts, perhaps with an old list; without one it asks for the whole."""
+        self._whole, self._heard = not has_list, now
+        self._at = now + (self._rng.uniform(0.0, self.spread) if has_list else 0.0)
+
+    def next(self) -> Call:
+        """The call that is due next. A watch without news is answered when its wait is over."""
+        wait = _IN_DOUBT if self._doubt else _WAIT
+        late = _LATE if self._open or self._pushed else _TURN
+        if self._doubt and self._pushed:
+            late = _AGENT_LATE
+        return Call(self._at, self._whole, wait, late + (0.0 if self._whole else wait))
+
+    def made(self, now: float) -> None:
+        """The call that is due goes out."""
+        self._made, self._asked_whole = now, self._whole
+
+    def ended(self, end: End, now: float) -> None:
+        """What became of the call that was made last."""
+        self._open, self._at = end is End.ANSWERED, now
+        if end is End.ANSWERED:
+            self.failures, self._lost_at, self._doubt, self._heard = 0, None, False, now
+            self._whole = self._whole and not self._asked_whole  # asked for again until it has come
+            return
+        self.failures, self._doubt = self.failures + 1, True
+        silent = end is End.SILENT
+        if self._pushed:
+            self._at += 0.0 if silent else _AGENT_AGAIN
+            return
+        if silent and self._lost_at is None:
+            self._lost_at = self._made  # it fell silent then at the earliest
+        before = self.told_at() - _TURN - now if self._lost_at is not None else 0.0
+        if before > 0.0 and end is not End.UNREADABLE:
+            # Guards the drain rule: silence is no sign of a crowd at discovery, and what the watch has missed
+            # counts as told soon. A fleet that may have fallen silent as one spreads its calls until then.
+            least = 0.0 if silent else _BACKOFF[0]
+            self._at += self._rng.uniform(min(least, before), min(before, max(least, self.spread)))
+        else:
+            backoff = self._first * 2.0 ** min(self.failures - 1, 16)
+            self._at += min(self._most, backoff) * self._rng.uniform(0.5, 1.0)
+
+    def told_at(self) -> float:
+        """When what a silent watch missed counts as told, whether or not it came; infinite where none is."""
+        if self._lost_at is None:
+            return math.inf
+        return max(self._lost_at + _TOLD, self._lost_at + _WAIT + _TOLD_AFTER_WAIT)
+
+    def age(self, now: float) -> float:
+        """How long ago discovery last answered."""
+        return now - self._heard
+
+    def fetch(self) -> None:
+        """The whole list is wanted with the next call."""
+        self._whole = True
+
+    def moved(self, now: float) -> None:
+        """Discovery is at another address, whose versions are its own: ask for the whole list at once."""
+        self.failures, self._whole, self._at = 0, True, now
+        self._open, self._doubt, self._lost_at = False, False, None
--- a/burlmoor/rig/discovery.py
+++ b/burlmoor/rig/discovery.py
@@ -13,6 +13,9 @@
 from burlmoor.rig.executor import now
 from burlmoor.rig.wire import Server, Wire
 
+# ms until what a silent watch misses counts as told: after it fell silent, after its call's wait is over.
+TOLD_AFTER_SILENCE, TOLD_AFTER_WAIT = 6000.0, 2000.0
+
 
 class Discovery:
     """Owns the list, and who watches it."""
@@ -24,7 +27,10 @@
         self._news = trio.Event()
         self.down = False
         self.late: dict[str, float] = {}  # nodes that hear of everything so many ms late
-        self.heard: list[tuple[float, str, str, str]] = []  # when, which node, of whom, their health
+        # When, which node, of whom, their health: written to it, or missed by a silent watch and told anyway.
+        self.heard: list[tuple[float, str, str, str]] = []
+        self._watches: dict[str, dict[Wire, tuple[int, float]]] = {}  # by node: the version, the wait's end
+        self._mute: set[Wire] = set()  # on these nothing is answered any more
 
     @property
     def seq(self) -> int:
@@ -54,6 +60,25 @@
         self._news.set()
         self._news = trio.Event()
 
+    def silence(self, node: str) -> None:
+        """The node's watch is lost without a sign; what it misses counts as told some seconds later."""
+        for wire, (after, over) in self._watches.get(node, {}).items():
+            self._mute.add(wire)
+            at = max(now() + TOLD_AFTER_SILENCE, over + TOLD_AFTER_WAIT)
+            self._nursery.start_soon(self._missed, node, after, at)
+
+    def break_off(self, node: str) -> None:
+        """The node's watch is reset."""
+        for wire in list(self._watches.get(node, {})):
+            wire.reset()
+
+    async def _missed(self, node: str, after: int, at: float) -> None:
+        await trio.sleep(max(0.0, at - now()) / 1000.0)
+        known = {host: health for _, who, host, health in self.heard if who == node}
+        for host, entry in {host: entry for _, host, entry in self._history[after:]}.items():
+            if known.get(host) != entry["health"]:
+                self.heard.append((now(), node, host, entry["health"]))
+
     def whole(self, node: str) -> dict[str, Any]:
         """The list as that node is told it."""
         shown = self._shown(node)
@@ -75,10 +100,19 @@
                 told = self.whole(node)
             else:
                 after, wait = int(query["after"][0]), float(query["wait_ms"][0])
-                with trio.move_on_after(wait / 1000.0):
-                    while self._shown(node) <= after:
-                        with trio.move_on_after(0.05 if self.seq > after else math.inf):
-                            await self._news.wait()
+                watches = self._watches.setdefault(node, {})
+                watches[wire] = (after, now() + wait)
+                try:
+                    with trio.move_on_after(wait / 1000.0):
+                        while self._shown(node) <= after:
+                            with trio.move_on_after(0.05 if self.seq > after else math.inf):
+                                await self._news.wait()
+                finally:
+                    del watches[wire]
+                if wire in self._mute:
+                    self._mute.discard(wire)
+                    await wire.read()  # until the node has given it up
+                    return
                 shown = self._shown(node)
                 fresh = {host: entry for _, host, entry in self._history[after:shown]}
                 hosts = [self._for(node, each) for each in fresh.values()]
--- a/burlmoor/rig/fleet/run.py
+++ b/burlmoor/rig/fleet/run.py
@@ -298,6 +298,10 @@
             self._discovery.late[name] = trouble.size
             await self._until(trouble.until)
             self._discovery.late.pop(name, None)
+        elif trouble.what == "silent":
+            self._discovery.silence(name)
+        elif trouble.what == "broken":
+            self._discovery.break_off(name)
         else:
             self._discovery.down = True
             await self._until(trouble.until)
--- a/burlmoor/rig/fleet/troubles.py
+++ b/burlmoor/rig/fleet/troubles.py
@@ -19,7 +19,7 @@
 LINK = ("cut", "delay", "drop", "reset", "stall", "throttle", "corrupt", "repeat", "reorder")
 NODES = ("kill", "stop", "term")
 EXECUTORS = ("die", "drain", "still", "slow", "fail")
-DISCOVERY = ("late", "down")
+DISCOVERY = ("late", "down", "silent", "broken")
 KINDS = (*LINK, *NODES, *EXECUTORS, *DISCOVERY)
 Direction = Literal["both", "forward", "back"]
 
--- a/burlmoor/rig/sabotage.py
+++ b/burlmoor/rig/sabotage.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from burlmoor import messages as m
+
 
 def _forget_parents() -> None:
     """Jobs run whatever they name."""
@@ -115,6 +117,21 @@
     Mean.read = lambda self, now, _half, *rest: read(self, now, 1e15, *rest)  # type: ignore[method-assign]
 
 
+def _late_watch() -> None:
+    """A silent watch is given up in the moment in which what it missed counts as told, and then rested."""
+    from burlmoor.net import watching  # noqa: PLC0415
+
+    watching._WAIT, watching._LATE, watching._BACKOFF = 8.0, 2.0, (1.0, 2.0)
+
+
+def _undrained() -> None:
+    """What drains gets jobs as before."""
+    from burlmoor.net.target_group import TargetGroup  # noqa: PLC0415
+
+    TargetGroup._state = lambda self, host: m.State.LIVE  # type: ignore[method-assign]
+    TargetGroup.live = lambda self, name: self._targets.get(name)  # type: ignore[method-assign]
+
+
 Sabotages = dict[str, Callable[[], None]]
 
 OF_WAITING: Sabotages = {
@@ -130,7 +147,8 @@
     "one-order": _one_order,
     "no-ageing": _no_ageing,
 }
-SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD
+OF_WATCH: Sabotages = {"late-watch": _late_watch, "undrained": _undrained}
+SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD | OF_WATCH
 
 
 def told(sabotages: Sabotages) -> dict[str, str]:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -12,7 +12,10 @@
 import pytest
 import trio
 
+from burlmoor import messages as m
+from burlmoor.net.pool import NotConnected
 from burlmoor.net.serving import Serving
+from burlmoor.net.target import BrokenReply
 from burlmoor.rig.wire import Message
 from tests.peers import Stage, play
 from tests.test_config import written
@@ -238,6 +241,37 @@
     play(story)
 
 
+@pytest.mark.parametrize(
+    ("fault", "given_up"), [("none", True), ("refused", True), ("timed out", False), ("broken", False)]
+)
+def test_a_forward_is_given_up_once_its_target_has_heard_or_is_gone(
+    fault: str, given_up: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Elsewhere the job would be a second copy, where the settings bar those.
+    async def story(made: Stage) -> None:
+        made.kept.append(await made.submit())
+        await made.until(lambda: made.jobs)
+        core, forwards = made.node.core, made.node.forwards
+        forward = next(iter(core._jobs.values())).forwards[0]
+        await made.until(lambda: not forwards.under_way)
+
+        async def call(*_: object) -> None:
+            if fault == "broken":
+                raise BrokenReply("reset")
+            error = NotConnected(fault)
+            error.refused = fault == "refused"
+            raise error
+
+        if fault != "none":
+            monkeypatch.setattr(made.node.pool, "call", call)
+        forwards.abandon(forward)
+        await made.until(lambda: not forwards.closing)
+        assert forward.over is given_up
+        assert forward.end is (m.Outcome.CANCELLED if given_up else None)
+
+    play(story)
+
+
 def test_discovery_that_breaks_is_asked_again() -> None:
     async def story(made: Stage) -> None:
         await made.until(lambda: made.watches)
@@ -255,23 +289,6 @@
     assert sum("discovery-failed" in line for line in lines) == 3
 
 
-def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() -> None:
-    # A silent watch looks like one with no news. What it missed counts as told 6 s after it fell silent, or
-    # 2 s after its call's wait is over, if that is later.
-    async def story(made: Stage) -> None:
-        await made.publish(5, e0="active", e1="active")
-        made.silent = True
-        await made.until(lambda: made.watches)
-        silent, asked, began = made.watches.pop(), made.asked[-1], trio.current_time()
-        wait = float(asked.partition("wait_ms=")[2]) / 1000.0
-        await made.publish(6, False, e0="leaving")  # to the call after that one: nothing else comes
-        await made.until(lambda: made.node.group.live("e0") is None)
-        assert trio.current_time() < began + max(6.0, wait + 2.0)
-        await made.until(lambda: silent in made.left)
-
-    play(story)
-
-
 @pytest.mark.parametrize("waiting", ["for an answer", "after failures"])
 def test_discovery_that_moves_is_asked_for_the_whole_list_at_once(waiting: str, tmp_path: Path) -> None:
     async def story(made: Stage) -> None:
@@ -279,9 +296,9 @@
         wire = await made.submit()
         await made.until(lambda: made.jobs and made.watches)
         if waiting == "after failures":
-            made.node.watch._failures = 9
+            made.node.watch._life.failures = 9
             await made.watches.pop().write("HTTP/1.1 503 Busy")
-            await made.until(lambda: made.node.watch._failures == 10)
+            await made.until(lambda: made.node.watch._life.failures == 10)
         old, made.asked, made.watches = made.watches, [], []
         told = await made.discovery()
         known = made.listed(1, e0="active")  # older than what has been told since
@@ -317,7 +334,7 @@
 
     lines: list[str] = []
     play(story, lines=lines)
-    assert [json.loads(line)["event"] for line in lines] == ["started", "reload-failed"]
+    assert [json.loads(line)["event"] for line in lines] == ["started", "reload-failed", "targets-leaving"]
 
 
 LONG = b"POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n"
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,208 @@
+"""Stories over loopback of the watch on discovery: what breaks it, what cannot be meant, and long lists."""
+
+from __future__ import annotations
+
+import json
+import socket
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from burlmoor.learnt import Learnt
+from burlmoor.net import peer as p
+from burlmoor.net.target_group import ByHand, HostList
+from burlmoor.operators import ByHandSet
+from tests.peers import Stage, play
+from tests.test_config import OPTIONS, written
+from tests.test_control import call
+
+PUSHED = {**OPTIONS, "RegistryMode": "push"}
+
+
+async def all_go_elsewhere(made: Stage) -> None:
+    for number in range(6):
+        wire = await made.submit("once", f"job{number}")
+        while len(made.jobs) <= number:
+            await made.news.wait()
+        assert made.jobs[-1][0] == "e1"
+        await made.tell("done")
+        assert (await made.answer(wire)).status == 200
+
+
+@pytest.mark.parametrize("given", [OPTIONS, PUSHED], ids=["asked", "pushed"])
+@pytest.mark.parametrize("fault", ["silent", "reset", "down", "moved"])
+def test_a_drain_is_heard_in_time_whatever_befell_the_watch(
+    fault: str, given: dict[str, Any], tmp_path: Path
+) -> None:
+    # A silent watch looks like one with no news. What it missed counts as told 6 s after it fell silent, or
+    # 2 s after its call's wait is over, if that is later. What an agent learns counts once it answers again.
+    async def story(made: Stage) -> None:
+        await made.publish(5, e0="active", e1="active")
+        await made.until(lambda: made.watches)
+        made.silent = True
+        watch, began = made.watches.pop(), trio.current_time()
+        within = max(6.0, float(made.asked[-1].partition("wait_ms=")[2]) / 1000.0 + 2.0)
+        if fault == "reset":
+            await watch.stream.aclose()
+        elif fault == "down":
+            await watch.write("HTTP/1.1 503 Busy")
+            for _ in range(2):
+                await made.until(lambda: made.watches)
+                await made.watches.pop().write("HTTP/1.1 503 Busy")
+            within = 10.0
+        elif fault == "moved":
+            within = 4.0
+            made.node.reload(written(tmp_path, discovery=await made.discovery()))
+        calls = len(made.asked)
+        await made.until(lambda: len(made.asked) > calls and made.watches)
+        await made.publish(
+            6, fault == "moved", e0="leaving", **({"e1": "active"} if fault == "moved" else {})
+        )
+        await made.until(lambda: made.node.group.live("e0") is None)
+        assert trio.current_time() < began + within
+        made.silent = False
+        await all_go_elsewhere(made)
+
+    play(story, given_settings=given)
+
+
+def test_an_agent_that_was_silent_is_heard_within_the_drain_rule_once_it_answers() -> None:
+    # What it learns meanwhile counts as told in the moment in which it answers again.
+    async def story(made: Stage) -> None:
+        made.silent = True
+        await made.until(lambda: len(made.asked) > 5)
+        gaps = []
+        for _ in range(4):
+            calls, since = len(made.asked), trio.current_time()
+            while len(made.asked) <= calls:
+                await made.news.wait()
+            gaps.append(trio.current_time() - since)
+        assert sorted(gaps)[1] < 0.3  # the machine may be busy for a call or two
+
+    play(story, given_settings=PUSHED)
+
+
+BAD = [
+    (b"{", "discovery-failed", ""),
+    (b"null", "discovery-failed", "not a list"),
+    (b'{"seq": 9, "whole": true, "hosts": []}', "discovery-failed", "hosts: empty"),
+    (b'{"seq": 9, "whole": false, "hosts": [{"host": "e0", "share": NaN}]}', "discovery-failed", ""),
+    (
+        b'{"seq": 9, "whole": false, "hosts": [{"host": "e0"}, {"host": 7}]}',
+        "discovery-failed",
+        "hosts[1].host",
+    ),
+    (b'{"seq": 9, "whole": true, "hosts": [' + b" " * (5 << 20), "discovery-failed", "too long"),
+]
+
+
+@pytest.mark.parametrize(("body", "event", "field"), BAD)
+def test_what_is_no_list_changes_nothing_and_does_not_stop_the_watch(
+    body: bytes, event: str, field: str
+) -> None:
+    async def story(made: Stage) -> None:
+        await made.until(lambda: made.watches)
+        with suppress(
+            trio.BrokenResourceError, trio.ClosedResourceError
+        ):  # the node reads no more than it will hold
+            await made.watches.pop().write("HTTP/1.1 200 OK", body)
+        await made.until(lambda: any(event in line for line in lines))
+        assert made.node.group.version == 1
+        assert made.node.group.live("e0") and made.node.group.live("e1")
+        await made.publish(10, e0="leaving", e1="active")
+        await made.until(lambda: made.node.group.version == 10)
+
+    lines: list[str] = []
+    play(story, lines=lines)
+    told = [each["error"] for each in map(json.loads, lines) if each["event"] == event]
+    assert len(told) == 1
+    assert field in told[0]
+
+
+def test_a_bad_entry_keeps_no_drain_from_being_heard_and_undoes_none() -> None:
+    async def story(made: Stage) -> None:
+        told = made.listed(7, True, e0="leaving", e1="active")
+        twice = {**told["hosts"][0], "health": "active"}
+        told["hosts"] += [
+            twice,
+            {**twice, "host": "e2", "dial": "nowhere"},
+            {**twice, "host": "e3", "share": -1},
+        ]
+        await made.until(lambda: made.watches)
+        await made.watches.pop().write("HTTP/1.1 200 OK", json.dumps(told).encode())
+        await made.until(lambda: made.node.group.version == 7)
+        assert [made.node.group.live(f"e{n}") is not None for n in range(4)] == [False, True, False, False]
+
+    lines: list[str] = []
+    play(story, lines=lines)
+    bad = next(each for each in map(json.loads, lines) if each["event"] == "list-entries-bad")
+    assert bad["count"] == 3
+    assert bad["error"].startswith("hosts[2].host")
+
+
+MANY = 1200
+
+
+def test_a_long_list_is_served_and_changed_and_all_of_it_may_be_out_by_hand() -> None:
+    async def story(made: Stage) -> None:
+        told = made.listed(7, True, e0="active", e1="active")
+        usual = {**told["hosts"][0], "health": "leaving"}
+        told["hosts"] += [
+            {**usual, "host": f"executor-{n:06d}", "dial": f"127.0.3.{n % 250}:8081"} for n in range(MANY)
+        ]
+        body = json.dumps(told, indent=8).encode()
+        assert len(body) > 256 * 1024
+        await made.until(lambda: made.watches)
+        await made.watches.pop().write("HTTP/1.1 200 OK", body)
+        await made.until(lambda: made.node.group.version == 7)
+        await made.publish(8, False, e0="leaving")
+        await made.until(lambda: made.node.group.live("e0") is None)
+        await all_go_elsewhere(made)
+        out = {f"executor-{n:06d}": 1.0 for n in range(MANY)}
+        made.node.group.set_by_hand(ByHand(out=out))
+        _, shown = await call(made, "/ready", method="GET")
+        assert shown["out"] == sorted(out)
+
+    play(story)
+
+
+def test_a_message_between_processes_may_be_far_longer_than_a_datagram() -> None:
+    hosts = {
+        "hosts": [{"host": f"executor-{n:06d}", "dial": f"127.0.0.1:{n + 1}"} for n in range(5000)],
+        "seq": 4,
+    }
+    snapshot = p.Snapshot(ByHandSet(), msgspec.convert(hosts, HostList), Learnt(), ["a"], 1, 2)
+
+    class Side:
+        def __init__(self) -> None:
+            self.heard: list[p.Message] = []
+            self.whole = trio.Event()
+
+        def told(self, peer: p.Peer, message: p.Message, sock: socket.socket | None) -> None:
+            self.heard.append(message)
+            if isinstance(message, p.Accepting):
+                self.whole.set()
+
+        def lost(self, peer: p.Peer) -> None: ...
+
+    async def story() -> None:
+        async with trio.open_nursery() as nursery:
+            ends = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            here, there = Side(), Side()
+            peers = [
+                p.Peer(sock, side, nursery, print) for sock, side in zip(ends, (here, there), strict=True)
+            ]
+            nursery.start_soon(peers[1].run)
+            assert peers[0].post(snapshot)
+            assert peers[0].post(p.Accepting())
+            with trio.fail_after(10.0):
+                await there.whole.wait()
+            assert there.heard == [snapshot, p.Accepting()]
+            for peer in peers:
+                peer.close()
+
+    trio.run(story)
