--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -181,6 +181,18 @@
     assert [each.target == forward.target for each in world.sent] == [True, False]
 
 
+def test_nothing_is_kept_of_a_job_that_ends_while_a_give_up_is_under_way() -> None:
+    world = World(limits=m.Limits(attempts=4, cancel=True, second_copies=False))
+    client, forward = world.placed(work=2000.0)
+    world.core.started(forward)
+    while not world.abandoned:
+        world.run(50.0)
+    assert not forward.over
+    world.run(10_000.0)
+    assert len(client.answers) == 1
+    assert world.core.open_ids() == []
+
+
 def test_an_id_in_use_is_not_taken_twice() -> None:
     world = World()
     world.ask()
