--- a/tests/membership/test_swim.py
+++ b/tests/membership/test_swim.py
@@ -133,6 +133,39 @@
     assert not town.up["n4"].contested
 
 
+@pytest.mark.parametrize(
+    ("heard", "sizes"),
+    [
+        (lambda a, b: a == "n3", {11, 19}),
+        (lambda a, b: int(a[1:]) < 8 <= int(b[1:]), {8, 12}),
+    ],
+    ids=["one is heard by none", "half is not heard by the other"],
+)
+def test_a_cut_in_one_direction_harms_only_who_is_cut_and_heals(heard, sizes: set[int]) -> None:  # type: ignore[no-untyped-def]
+    town = Town(20, 3)
+    town.until_agreed(10.0)
+    town.cut = heard
+    town.run(town.now + 30.0)
+    found = {len(node.view(town.now).there) for name, node in town.up.items() if name != "n3"}
+    assert found <= sizes
+    assert not (town.up["n3"].view(town.now).majority and heard("n3", "n9"))
+    town.cut = lambda _a, _b: False
+    assert town.until_agreed(20.0) <= 20.0
+
+
+def test_datagrams_half_a_second_late_and_a_node_that_flaps_are_borne() -> None:
+    town = Town(20, 1, late=0.5)
+    assert town.until_agreed(10.0) <= 10.0
+    for _ in range(8):
+        town.kill(["n5"])
+        town.run(town.now + 2.0)
+        town.start("n5")
+        town.run(town.now + 2.0)
+    assert town.until_agreed(10.0) <= 10.0
+    assert not town.up["n5"].contested
+    assert {accused for _, _, accused in town.alarms} <= {"n5"}
+
+
 def test_who_leaves_is_never_suspected_nor_brought_back() -> None:
     town = Town(20, 9)
     town.until_agreed(10.0)
