--- a/burlmoor/membership/swim.py
+++ b/burlmoor/membership/swim.py
@@ -175,9 +175,12 @@
             for suspicion in self._suspicions.values():
                 suspicion.since = now
             self._heard_at = -math.inf
-            self.health = min(_HEALTH_MOST, self.health + 1)
+            self._doubt_self()
             self._next_probe = now
 
+    def _doubt_self(self) -> None:
+        self.health = min(_HEALTH_MOST, self.health + 1)
+
     def _patience(self, confirmed: int) -> float:
         """How long a suspicion lasts, the shorter the more have it."""
         tuning = self._tuning
@@ -226,7 +229,7 @@
     def _unanswered(self, probe: _Probe, now: float) -> list[Out]:
         if not probe.helped:
             # Nobody answers this node: perhaps it is the one that is ill.
-            self.health = min(_HEALTH_MOST, self.health + 1)
+            self._doubt_self()
         fact = self._known.get(probe.name)
         if fact is not None and fact.state is State.ALIVE:
             self._learn(fact._replace(state=State.SUSPECT), self.me.name, now)
@@ -297,7 +300,7 @@
             return
         if fact.order[:2] == self.me.order[:2]:
             # Somebody doubts this node: it says that it lives, and doubts itself a little more.
-            self.health = min(_HEALTH_MOST, self.health + 1)
+            self._doubt_self()
             if fact.incarnation + 1 < LAST:
                 self._mine(self.me._replace(incarnation=fact.incarnation + 1))
                 return
--- a/burlmoor/model/gossip.py
+++ b/burlmoor/model/gossip.py
@@ -40,7 +40,7 @@
         self._order += 1
         heapq.heappush(self._queue, (when, self._order, act))
 
-    def start(self, name: str, life: int = 100, clock: float | None = None) -> None:
+    def start(self, name: str, life: int = 100) -> None:
         """Start a node, or start it again."""
         known = dict(list(self.peers.items())[: self.knowing]) if self.knowing else self.peers
         seed = random.Random(self.rng.random())
--- a/burlmoor/net/target_group.py
+++ b/burlmoor/net/target_group.py
@@ -48,8 +48,12 @@
     born: float
 
 
+def _listed(host: _Host) -> m.State:
+    return _STATES.get(host.health, m.State.GONE)
+
+
 def _leaves(host: _Host) -> bool:
-    return _STATES.get(host.health, m.State.GONE) is not m.State.LIVE
+    return _listed(host) is not m.State.LIVE
 
 
 def _fault(host: _Host, known: dict[str, _Host]) -> str | None:
@@ -151,27 +155,20 @@
         given = _DECODER.decode(body)
         if given is None:
             raise ValueError("not a list")
-        if (
-            given.whole
-            and not given.hosts
-            and any(each.state is m.State.LIVE for each in self._targets.values())
-        ):
+        live = self._live()
+        if given.whole and not given.hosts and live:
             # A registry that has just started knows nobody. Those who have left refuse connections anyway.
             raise ValueError("hosts: empty, though executors were listed")
         given.hosts = self._usable(given.hosts)
-        live = {name for name, each in self._targets.items() if each.state is m.State.LIVE}
         self._apply(given)
-        leaving = [name for name in live if self._state_of(name) is not m.State.LIVE]
-        if leaving:
-            self._say(
-                "targets-leaving", count=len(leaving), names=sorted(leaving)[:_NAMED], version=given.seq
-            )
+        left = sorted(live - self._live())
+        if left:
+            self._say("targets-leaving", count=len(left), names=left[:_NAMED], version=given.seq)
         if given.whole or given.hosts:
             self._core.listed(m.Form.FULL if given.whole else m.Form.CHANGES, self._entries(given.hosts))
 
-    def _state_of(self, name: str) -> m.State:
-        target = self._targets.get(name)
-        return target.state if target else m.State.GONE
+    def _live(self) -> set[str]:
+        return {name for name, each in self._targets.items() if each.state is m.State.LIVE}
 
     def _usable(self, hosts: list[_Host]) -> list[_Host]:
         """The entries that can be meant, one a host.
@@ -207,7 +204,7 @@
         older = self.version is not None and given.seq < self.version
         for number, host in enumerate(given.hosts):
             old = self._targets.get(host.host)
-            state = _STATES.get(host.health, m.State.GONE)
+            state = _listed(host)
             if older and old is not None and old.born == host.born_ms and old.state is not m.State.LIVE:
                 # Guards the drain rule: a list from before a drain was told does not undo it.
                 state = old.state
@@ -236,5 +233,5 @@
         ]
 
     def _state(self, host: _Host) -> m.State:
-        state = _STATES.get(host.health, m.State.GONE)
+        state = _listed(host)
         return m.State.DRAINING if state is m.State.LIVE and host.host in self.by_hand.out else state
--- a/burlmoor/net/watching.py
+++ b/burlmoor/net/watching.py
@@ -33,9 +33,8 @@
 _BACKOFF = (0.1, 2.0)  # before the first call after a failure, and at most, where a fleet is small
 _WITHIN = 0.8  # of the time within which a node has to ask
 _IN_DOUBT = 0.1  # the wait of calls that open a watch anew: whether they are answered shows soon
-_AGENT_AGAIN = _AGENT_LATE = (
-    0.1  # before a new call to an agent that failed; the allowance while it is silent
-)
+_AGENT_AGAIN = 0.1  # before a new call to an agent, where one has failed
+_AGENT_LATE = 0.1  # the allowance for its answers while it is silent
 
 
 class End(enum.Enum):
