--- a/burlmoor/rig/drill_spread.py
+++ b/burlmoor/rig/drill_spread.py
@@ -49,7 +49,7 @@
         min(_MOST, max(40.0, _A_NODE * nodes)), _LOAD, sabotage=ask.sabotage,
         schedule=troubles(ask.seconds, ask.seed, nodes),
     )  # fmt: skip
-    parts = Parts() if nodes > 40 else Parts(relays=1, executors=1, clients=1)
+    parts = Parts.round(nodes)
     record = await Fleet(plan, folder, lambda line: print(line, file=sys.stderr)).run(parts)
     judged = found(record)
     for line in judged.audit.broken[:20]:
--- a/burlmoor/rig/drill_watch.py
+++ b/burlmoor/rig/drill_watch.py
@@ -75,7 +75,7 @@
     names = fleet.record.names()
     leaving = tuple(names[part::4] for part in range(3))
     plan.schedule = troubles(ask.seconds, ask.seed, leaving)
-    parts = Parts() if nodes > 40 else Parts(relays=1, executors=1, clients=1)
+    parts = Parts.round(nodes)
     return judge(await fleet.run(parts), ask)
 
 
--- a/burlmoor/rig/fleet/run.py
+++ b/burlmoor/rig/fleet/run.py
@@ -30,6 +30,7 @@
 _AFTER = 2.0  # seconds beyond the longest patience until clients must be done
 _FAR = 3  # cores kept for the far sides, where there are twice as many and more
 _TAIL = 2000  # characters of a log that are told where a party has failed
+_SMALL = 40  # nodes up to which one process of each sort bears their far sides
 _STOP = 15.0  # seconds that nodes have to end in
 
 
@@ -40,6 +41,11 @@
     executors: int = 3
     clients: int = 2
 
+    @classmethod
+    def round(cls, nodes: int) -> Parts:
+        """What a drill of so many nodes needs: a small one is to leave the machine to its nodes."""
+        return cls() if nodes > _SMALL else cls(relays=1, executors=1, clients=1)
+
 
 class Fleet:
     """Owns all processes of one run. `say` hears a line of progress at a time."""
