Ask one gate before a forward's first byte whether its job is still wanted, and see every client leave

Where settings bar a give-up (Limits.Cancel false) nothing else stops a forward that waits for its connection: the client closed, the connection came up, the job was written.

Ruled out: a retry, a second copy, a move and a released job all go out through Core._send, which asks job.over, and then through the gate; a kept connection is written to without a wait in between.

--- a/burlmoor/net/forwards.py
+++ b/burlmoor/net/forwards.py
@@ -13,7 +13,7 @@
 from burlmoor.net.listener import Payload
 from burlmoor.net.pool import Link, NotConnected, NotSent, Pool
 from burlmoor.net.target import BrokenReply, Reply
-from burlmoor.net.target_group import TargetGroup
+from burlmoor.net.target_group import Target, TargetGroup
 
 # Seconds in which a target takes or refuses a forward: measured 0.3 at most, where it stood still meanwhile.
 _TAKEN_WITHIN = 0.45
@@ -22,6 +22,10 @@
 _TAKEN = 202
 
 
+class _Unwanted(Exception):
+    """The forward is not to go out: nobody waits for it any more, or its target has left."""
+
+
 @dataclass(slots=True)
 class _Exchange:
     """One forward on its way."""
@@ -88,6 +92,8 @@
         """The forward's end as far as this exchange tells it; None once the target has taken the job."""
         try:
             link = await self._written(forward)
+        except _Unwanted:
+            return m.Outcome.UNSENT
         except (NotConnected, NotSent):
             return m.Outcome.UNREACHABLE
         # What must not run twice can't go elsewhere anyway, so it waits for as long as its client does.
@@ -115,14 +121,12 @@
         # What must not run twice would be lost with a kept connection that turns out to be dead.
         fresh = forward.job.once and self._pool.wary
         while True:
-            target = self._group.live(forward.target)
-            if target is None:
-                raise NotConnected("the target is not live")
+            target = self._wanted(forward)
             link = await (self._pool.connect(target.dial) if fresh else self._pool.take(target.dial))
             try:
-                # Guards the drain rule: the list may have changed while the connection came up.
-                if self._group.live(forward.target) != target:
-                    raise NotConnected("the target left while connecting")
+                # All may have changed while the connection came up. Nothing waits from here to the first byte.
+                if self._wanted(forward) != target:
+                    raise _Unwanted("the target is another process now")
                 payload: Payload = forward.job.payload
                 left = max(1, int(forward.give_up_at - self._clock()))
                 headers = [("Request-Id", forward.job.id), ("Request-Timeout-Ms", str(left))]
@@ -141,6 +145,20 @@
                 raise
             return link
 
+    def _wanted(self, forward: Forward) -> Target:
+        """The gate that each forward passes right before its first byte; `_Unwanted` where it may not go.
+
+        Guards the drain rule, executors against jobs whose clients have left (also where settings bar a
+        give-up, so that nothing else stops what waits for a connection), and rule 1 against a second copy of
+        a job that is answered.
+        """
+        if forward.over or forward.job.over:
+            raise _Unwanted("nobody waits for it any more")
+        target = self._group.live(forward.target)
+        if target is None:
+            raise _Unwanted("the target is not live")
+        return target
+
     async def _delete(self, forward: Forward) -> None:
         dial = self._group.dial(forward.target)
         path = f"/jobs/{forward.job.id}".encode()
--- a/burlmoor/net/stream.py
+++ b/burlmoor/net/stream.py
@@ -62,16 +62,21 @@
     async def skip(self, limit: int) -> None:
         """Read and forget until the peer ends, at most `limit` bytes or a little more."""
         while limit > 0:
+            count = await self.skip_once()
+            if not count:
+                return
+            limit -= count
+
+    async def skip_once(self) -> int:
+        """Wait for bytes and forget them; how many there were, 0 at the end."""
+        while True:
             try:
                 await trio.lowlevel.wait_readable(self._open())
-                count = self._open().recv_into(_SCRATCH)
+                return self._open().recv_into(_SCRATCH)
             except (BlockingIOError, InterruptedError):
                 continue
             except trio.ClosedResourceError:
-                return
-            if not count:
-                return
-            limit -= count
+                return 0
 
     def send(self, data: bytes) -> None:
         """Write what the kernel takes now and queue the rest; OSError or BufferError if it cannot go."""
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,106 @@
+"""Stories of what ends while something may still be owed: docs/endings.md has a row for each.
+
+Peers are scripted on loopback; each story makes the bad order by events.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+
+from burlmoor.net.pool import Link
+from tests.peers import Stage, play
+from tests.test_config import OPTIONS
+
+NO_CANCEL = {**OPTIONS, "Limits": {**OPTIONS["Limits"], "Cancel": False}}
+
+
+class Held:
+    """Holds back each connection to an executor until the story lets it come up."""
+
+    def __init__(self, made: Stage, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.waiting, self.go = 0, trio.Event()
+        take = made.node.pool.take
+
+        async def slow(dial: str) -> Link:
+            link = await take(dial)
+            self.waiting += 1
+            made.happened()
+            await self.go.wait()
+            return link
+
+        monkeypatch.setattr(made.node.pool, "take", slow)
+
+
+# --- the client leaves --------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("given_settings", [OPTIONS, NO_CANCEL])
+@pytest.mark.parametrize("how", ["closes", "resets"])
+def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_sent(
+    how: str, given_settings: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story(made: Stage) -> None:
+        held = Held(made, monkeypatch)
+        wire = await made.submit()
+        await made.until(lambda: held.waiting)
+        await (wire.stream.aclose() if how == "closes" else reset(wire))
+        await made.until(lambda: not made.node.core.open_jobs)
+        held.go.set()
+        await made.until(lambda: not made.node.forwards.under_way)
+        assert not made.jobs
+        await made.until(lambda: not made.node.core.open_ids())  # nothing is kept of it either
+
+    play(story, given_settings=given_settings)
+
+
+@pytest.mark.parametrize("after", [20_000, 300_000, 3_000_000])
+def test_a_client_that_sends_much_and_leaves_has_left(after: int) -> None:
+    # Its close comes behind more than the node keeps of what is written to it.
+    async def story(made: Stage) -> None:
+        wire = await made.submit(ms=9000)
+        await made.until(lambda: made.jobs)
+        began = trio.current_time()
+        await wire.stream.send_all(b"x" * after)
+        await wire.stream.aclose()
+        await made.until(lambda: not made.node.core.open_jobs)
+        assert trio.current_time() - began < 2.0
+        await made.until(lambda: made.broken)  # and the executor hears of it
+
+    play(story, "hang")
+
+
+def test_a_client_that_writes_on_without_end_is_answered_and_closed_on() -> None:
+    async def story(made: Stage) -> None:
+        wire = await made.submit(ms=5000)
+        await made.until(lambda: made.jobs)
+        flood = 0
+
+        async def write() -> None:
+            nonlocal flood
+            try:
+                for _ in range(200):
+                    await wire.stream.send_all(b"x" * 100_000)
+                    flood += 1
+                    made.happened()
+            except trio.BrokenResourceError:
+                return
+
+        made.nursery.start_soon(write)
+        await made.until(lambda: flood > 100)
+        other = await made.submit(ref="b1")  # nobody else waits for it
+        await made.until(lambda: len(made.jobs) == 2)
+        for job, each in ((1, other), (0, wire)):
+            await made.tell("done", "fine", job=job)
+            answer = await made.answer(each)
+            assert (answer.status, answer.body) == (200, b"fine")
+        assert answer.headers["connection"] == "close"
+
+    play(story)
+
+
+async def reset(wire: Any) -> None:
+    """End a connection as a dying process does."""
+    wire.reset()
