Read on from a client that never ends instead of resetting the answer it has been given

Stream.skip reads at full speed up to its limit and then 20 times a second until its time is over; a client that waits for its answer is read on by the same call.

--- a/burlmoor/net/forwards.py
+++ b/burlmoor/net/forwards.py
@@ -124,7 +124,7 @@
             target = self._wanted(forward)
             link = await (self._pool.connect(target.dial) if fresh else self._pool.take(target.dial))
             try:
-                # All may have changed while the connection came up. Nothing waits from here to the first byte.
+                # All may have changed while it came up. Nothing waits from here to the first byte.
                 if self._wanted(forward) != target:
                     raise _Unwanted("the target is another process now")
                 payload: Payload = forward.job.payload
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -32,7 +32,6 @@
 _LINGER_BODY, _BODY_BYTES = 5.0, 64 << 20  # the same for an announced body, counted from the accept
 # Seconds after which a connection may be closed to make room for others.
 _SPARE_SILENT, _SPARE_BEGUN, _SPARE_IDLE = 0.1, 0.5, 0.25
-_FLOOD = 0.05  # between reads from one that has written as much as a rejected client may
 _SWEEP = 0.2
 _KEPT = 0.4  # of the connections: as many may wait or lie idle after use, then the longest idle ones end
 _KEPT_FOR_CALLBACKS = 8  # one in so many of the connections
@@ -151,23 +150,16 @@
             self.drop()
 
     async def _read(self) -> None:
-        skipped = 0
         while not self._finished:
-            if self._stream.inbound.room:
-                if not await self._stream.receive():
-                    return
-                self.advance()
-                continue
-            # Guards against jobs run for clients that have left: their close comes behind all that they wrote.
-            # Who writes on like this before its answer does not ask one thing at a time, so the rest is not
-            # looked at, and the answer closes the connection.
-            self._http.closing = True
-            count = await self._stream.skip_once()
-            if not count:
+            if not self._stream.inbound.room:
+                # Guards against jobs run for clients that have left: a close comes behind what was written.
+                # Who writes on like this before its answer does not ask one thing at a time, so the rest is
+                # not looked at, and the answer, which ends this, closes the connection.
+                self._http.closing = True
+                return await self._stream.skip(_LINGER_BYTES)
+            if not await self._stream.receive():
                 return
-            skipped += count
-            if skipped > _LINGER_BYTES:
-                await trio.sleep(_FLOOD)
+            self.advance()
 
     async def _linger(self) -> None:
         """Let the answer reach a client that still writes: closing at once would reset the connection.
--- a/burlmoor/net/stream.py
+++ b/burlmoor/net/stream.py
@@ -14,6 +14,7 @@
 
 _CHUNK = 16384
 _BACKLOG = 1024
+_SLOWLY = 0.05  # seconds between reads from a peer that never ends
 _SCRATCH = bytearray(128 * 1024)  # takes what is read only to be thrown away
 OUT_OF_SOCKETS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
@@ -60,23 +61,20 @@
         return bool(data)
 
     async def skip(self, limit: int) -> None:
-        """Read and forget until the peer ends, at most `limit` bytes or a little more."""
-        while limit > 0:
-            count = await self.skip_once()
-            if not count:
-                return
-            limit -= count
-
-    async def skip_once(self) -> int:
-        """Wait for bytes and forget them; how many there were, 0 at the end."""
+        """Read and forget until the peer ends; what is beyond `limit` bytes slowly, lest it cost much."""
         while True:
             try:
                 await trio.lowlevel.wait_readable(self._open())
-                return self._open().recv_into(_SCRATCH)
+                count = self._open().recv_into(_SCRATCH)
             except (BlockingIOError, InterruptedError):
                 continue
             except trio.ClosedResourceError:
-                return 0
+                return
+            if not count:
+                return
+            limit -= count
+            if limit < 0:
+                await trio.sleep(_SLOWLY)
 
     def send(self, data: bytes) -> None:
         """Write what the kernel takes now and queue the rest; OSError or BufferError if it cannot go."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -91,9 +91,9 @@
         made.nursery.start_soon(write)
         await made.until(lambda: flood > 100)
         other = await made.submit(ref="b1")  # nobody else waits for it
-        await made.until(lambda: len(made.jobs) == 2)
-        for job, each in ((1, other), (0, wire)):
-            await made.tell("done", "fine", job=job)
+        for ref, each in (("b1", other), ("a1", wire)):
+            await made.until(lambda ref=ref: numbers(made, ref))  # type: ignore[misc]
+            await made.tell("done", "fine", job=numbers(made, ref)[0])
             answer = await made.answer(each)
             assert (answer.status, answer.body) == (200, b"fine")
         assert answer.headers["connection"] == "close"
@@ -104,3 +104,8 @@
 async def reset(wire: Any) -> None:
     """End a connection as a dying process does."""
     wire.reset()
+
+
+def numbers(made: Stage, ref: str) -> list[int]:
+    """Which of the forwards that executors got are of this job."""
+    return [number for number, (_, job) in enumerate(made.jobs) if job.headers["request-id"] == ref]
