--- a/burlmoor/model/audit.py
+++ b/burlmoor/model/audit.py
@@ -8,6 +8,7 @@
 from burlmoor import core as c
 from burlmoor import messages as m
 from burlmoor.model.world import DROPPED, Asked, Attempt, World
+from burlmoor.rig.machine import most_calls
 
 SLACK = 50.0  # ms beyond each limit, as on sockets
 CHANCE = 1.15  # how far luck may push the work that reaches a cold executor over its budget
@@ -109,12 +110,13 @@
         if attempt.start > 0.0 and at <= attempt.sent < attempt.start + spec.cold_ms:
             sent[attempt.executor, attempt.start].append(attempt)
     broken = []
+    mean = sum(row.work for row in world.asked.values()) / max(1, len(world.asked))
     for (name, start), attempts in sent.items():
         for first, attempt in enumerate(attempts):
             end = attempt.sent + rules.fall_window
             load = sum(each.cost for each in attempts[first:] if each.sent <= end)
             bears = rules.fall_multiple * spec.able * spec.warmth(end - start) * rules.fall_window
-            if load > CHANCE * bears:
+            if load > min(CHANCE * bears, mean * most_calls(bears / mean)):
                 broken.append(f"{name}: {load:.0f} ms of work in a window where it bears {bears:.0f}")
                 break
     return broken
--- a/burlmoor/model/world.py
+++ b/burlmoor/model/world.py
@@ -68,6 +68,7 @@
     sent: float
     cost: float
     start: float  # when that executor had started; 0: long ago
+    life: int = 0  # of the node: what an earlier one sent is nothing to the next
     began: float | None = None
     known: m.Outcome | None = None
     known_at: float = math.inf
@@ -300,7 +301,7 @@
         node = self.nodes[attempt.node]
 
         def then() -> None:
-            if node is not None and node.alive:
+            if node is not None and node.alive and node.life == attempt.life:
                 what(node.core)
 
         self.at(self.now + self.town.net * self.rng.uniform(0.8, 1.5), then)
@@ -368,8 +369,9 @@
         stand, row = world.stands[forward.target], world.asked[forward.job.id]
         entry = stand.entry
         attempt = Attempt(
-            row.id, entry.executor, entry.zone, entry.cell, self.number, world.now, row.work, entry.started
-        )
+            row.id, entry.executor, entry.zone, entry.cell, self.number, world.now, row.work, entry.started,
+            self.life,
+        )  # fmt: skip
         world.attempts.append(attempt)
         world.at(world.now + world.town.net, lambda: world.deliver(forward, attempt))
 
--- a/burlmoor/rig/fleet/audit.py
+++ b/burlmoor/rig/fleet/audit.py
@@ -15,6 +15,7 @@
 from burlmoor.rig.fleet.record import Record, Span
 from burlmoor.rig.fleet.troubles import effects
 from burlmoor.rig.ledger import Asked, Ran
+from burlmoor.rig.machine import most_calls
 from burlmoor.rig.town import KINDS, settings
 
 DRAIN = 250.0  # ms from when a node was told until nothing new comes
@@ -156,6 +157,7 @@
     came: dict[str, list[Ran]] = defaultdict(list)
     for row in record.ran:
         came[row.executor].append(row)
+    mean = sum(row.work * row.slots for row in record.ran) / max(1, len(record.ran))
     for name, times in births.items():
         spec = record.specs[name]
         rows = sorted(came[name], key=lambda row: row.came)
@@ -164,6 +166,6 @@
             for number, row in enumerate(cold):
                 budget = multiple * spec.warmth(row.came - born) * spec.able * window
                 work = sum(r.work * r.slots for r in cold[number:] if r.came < row.came + window)
-                if work > LUCK * budget:
+                if work > min(LUCK * budget, mean * most_calls(budget / mean)):
                     found.broken.append(f"{name}: cold, got {work / budget:.2f} of its budget in a window")
                     break
--- a/burlmoor/rig/machine.py
+++ b/burlmoor/rig/machine.py
@@ -15,6 +15,11 @@
 import msgspec
 
 
+def most_calls(budget: float) -> float:
+    """The most calls of mean work that luck accounts for where a cold executor's budget is so many."""
+    return budget + 2.0 * math.sqrt(budget) + 2.0
+
+
 class Spec(msgspec.Struct, frozen=True):
     """What a machine is."""
 
