Forget the usual wait at executors as fast as other news on load

A look at 60 nodes with logs: from the burst (5 s) on 89 and 297 jobs turned away full, 24 to 48 % refused and 12 to 20 % failed, the jam outlasts the burst by 4 s. A node of many has met hardly any executor lately, so it goes by the usual wait of the kind, and book.py forgot that over 8 s (SKILL_HALF), while all other news on load halves in the time of two jobs (Book.pace). Ruled out: second copies (barred there), repeats beyond the window, crashes; rules kept.

Change: the usual wait halves in Book.pace, too; a test that fails without it.

--- a/burlmoor/book.py
+++ b/burlmoor/book.py
@@ -82,9 +82,12 @@
         return worker.cells[band].read(now, SKILL_HALF, worker.slow.read(now, SKILL_HALF, kind, 2.0), 3.0)
 
     def delay(self, worker: Worker, now: float, pace: float) -> float:
-        """Expected wait at this worker, from start delays seen there lately, else on its kind in its zone."""
+        """Expected wait at this worker, from start delays seen there lately, else on its kind in its zone.
+
+        Both are news on load: a node of many has hardly met this worker, and a burst is over in seconds.
+        """
         usual = self.usual_delay[worker.zone, worker.kind]
-        return worker.delay.read(now, pace, usual.read(now, SKILL_HALF, 0.0))
+        return worker.delay.read(now, pace, usual.read(now, pace, 0.0))
 
     def stability(self, worker: Worker, now: float) -> float:
         """The share of jobs done cleanly here, against the whole fleet's so that none is judged alone."""
@@ -111,7 +114,7 @@
         elif worker.slots > worker.room - 1.0:
             worker.room += 1.0 / worker.room
         worker.delay.add(now, wait, self.pace(now), weight)
-        self.usual_delay[worker.zone, worker.kind].add(now, wait, SKILL_HALF, weight)
+        self.usual_delay[worker.zone, worker.kind].add(now, wait, self.pace(now), weight)
 
     def learn_run(self, worker: Worker, work: float, run: float, now: float, weight: float = 1.0) -> float:
         """A job ran (or by its progress will run) this long; returns how slow that is for its kind."""
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -282,3 +282,18 @@
     for _ in range(10):
         book.learn_delay(known, 25.0, 100.0, started=False)
     assert book.delay(known, 100.0, 500.0) >= 0.99 * before
+
+
+def test_where_nodes_are_many_a_burst_shows_in_what_is_expected_of_executors_never_met() -> None:
+    # With hundreds of nodes each has met hardly any executor lately: it goes by the kind.
+    book, met, other = Book(5.0), worker("a0"), worker("a1")
+    pace = book.pace(0.0)
+    for step in range(20):
+        book.learn_delay(met, 4.0, 10.0 * step)
+    for step in range(3):  # two jobs' time later executors are full
+        book.learn_delay(met, 2004.0, 2.0 * pace + 10.0 * step)
+    full = book.delay(other, 2.0 * pace + 30.0, pace)
+    assert full > 400.0
+    for step in range(3):  # and free again
+        book.learn_delay(met, 4.0, 5.0 * pace + 10.0 * step)
+    assert book.delay(other, 5.0 * pace + 30.0, pace) < 0.4 * full
