Let a connection rest before it carries the next request, and take none from one being closed

A connection lies idle for 50 ms now before its next request, and one on which anything came meanwhile is closed, as before. What is read on a connection that is being closed is not looked at now, and its client asks again on another, as the protocol says.

The test of reuse waits out the rest between its jobs; its bound is the same.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -20,7 +20,7 @@
 from burlmoor.net.control import Control
 from burlmoor.net.forwards import Forwards
 from burlmoor.net.front import Front
-from burlmoor.net.pool import Pool
+from burlmoor.net.pool import REST, Pool
 from burlmoor.net.serving import Service, Serving
 from burlmoor.net.stream import listening
 from burlmoor.net.target_group import TargetGroup
@@ -58,7 +58,7 @@
         self.core = Core(decisions, given.seed, clock, log, self._wake)
         targets = int(sockets * _TARGETS_PART)
         timeout = decisions.limits.connect_timeout / 1000.0
-        self.pool = Pool(given.settings.keepalive / 1000.0 * _IDLE_PART, timeout, targets)
+        self.pool = Pool(given.settings.keepalive / 1000.0 * _IDLE_PART, timeout, targets, rest=REST)
         self.group = TargetGroup(self.core, self.pool, clock.from_unix, log)
         self.forwards = Forwards(self.core, self.group, self.pool, nursery, clock, log)
         rng = random.Random(given.seed + 1)
--- a/burlmoor/net/front.py
+++ b/burlmoor/net/front.py
@@ -175,7 +175,8 @@
 
     def advance(self) -> None:
         """Take in what was read, as far as requests may be taken."""
-        if self._advancing:
+        # Guards against a job taken from a connection that is being closed: nobody would hear its answer.
+        if self._advancing or self._scope.cancel_called:
             return
         self._advancing = True
         self._heard = trio.current_time()
--- a/burlmoor/net/pool.py
+++ b/burlmoor/net/pool.py
@@ -9,6 +9,7 @@
 
 _LIMIT = 256 * 1024  # bytes of an answer: an executor's body holds 64 KiB at most
 _STALE_WITHIN = 0.25  # seconds after a request is written in which a connection that was dead breaks
+REST = 0.05  # seconds in which a second answer to what a connection last carried may still come
 _WARY = 30.0  # seconds for which a broken one tells how long others may lie idle
 
 
@@ -80,9 +81,12 @@
 class Pool:
     """Owns the idle connections, freshest last, and the count of all of them."""
 
-    def __init__(self, idle_limit: float, connect_timeout: float, size: int, limit: int = _LIMIT) -> None:
+    def __init__(
+        self, idle_limit: float, connect_timeout: float, size: int, limit: int = _LIMIT, rest: float = 0.0
+    ) -> None:
         self.idle_limit, self._connect_timeout, self.size = idle_limit, connect_timeout, size
         self.limit = limit  # bytes of one answer
+        self._rest = rest  # seconds that a connection lies idle at least before it carries the next request
         self._idle: dict[str, list[Link]] = {}
         self._shorter, self._shorter_until = idle_limit, 0.0
         self.open = 0
@@ -112,11 +116,13 @@
         return self._reuse(dial) or await self.connect(dial)
 
     def _reuse(self, dial: str) -> Link | None:
-        idle = self._idle.get(dial, [])
-        while idle:
-            link = idle.pop()
+        idle, now = self._idle.get(dial, []), trio.current_time()
+        for link in idle[::-1]:
+            if now < link.idle_since + self._rest:
+                # Guards rule 2: a second answer to the last request would be taken for this one's.
+                continue
+            idle.remove(link)
             # What is written to a connection that its peer has closed would end as a reset.
-            now = trio.current_time()
             if now - link.idle_since < self._trusted() and link.quiet():
                 link.used, link.taken_at = True, now
                 return link
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -48,6 +48,7 @@
         self.left: list[Wire] = []  # calls to discovery whose connection the node has ended
         self.asked: list[str] = []
         self.heard: list[Wire] = []  # whose call each was
+        self.stray: Wire | None = None  # an executor's connection on which a second answer is to come
         self.kept: list[Wire] = []  # clients' connections that a story holds open without looking at them
         self.news = trio.Event()
 
@@ -87,6 +88,13 @@
                     act = self.script.pop(0) if self.script else "take"
                     self.jobs.append((name, message))
                     self.happened()
+                    if self.stray is not None:  # now that the next job has been written
+                        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                            await self.stray.write("HTTP/1.1 503 No", Not_Started="1")
+                        self.stray = None
+                    if act == "stray":
+                        self.stray = wire
+                        act = "take"
                     if act == "reset":
                         await wire.stream.aclose()
                         return
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -13,7 +13,7 @@
 import trio
 
 from burlmoor import messages as m
-from burlmoor.net.pool import NotConnected
+from burlmoor.net.pool import REST, NotConnected
 from burlmoor.net.serving import Serving
 from burlmoor.net.target import BrokenReply
 from burlmoor.rig.wire import Message
@@ -81,6 +81,7 @@
             await made.until(lambda ref=ref: made.jobs and made.jobs[-1][1].headers["request-id"] == ref)  # type: ignore[misc]
             await made.tell("done", ref)
             assert (await made.answer(wire)).body == ref.encode()
+            await trio.sleep(2.0 * REST)  # a connection is not used again before
         _, job = made.jobs[0]
         assert (job.start, job.body) == ("POST /lookup/0f HTTP/1.1", b"work")
         assert 0 < int(job.headers["request-timeout-ms"]) <= 3000
