--- a/burlmoor/model/audit.py
+++ b/burlmoor/model/audit.py
@@ -10,6 +10,7 @@
 from burlmoor.model.world import DROPPED, Asked, Attempt, World
 from burlmoor.rig.machine import most_calls
 
+GONE, FEW = 100.0, 2  # ms in which an attempt may still begin once its client has left; so many may be later
 SLACK = 50.0  # ms beyond each limit, as on sockets
 CHANCE = 1.15  # how far luck may push the work that reaches a cold executor over its budget
 
@@ -25,11 +26,11 @@
         attempts = by_job[row.id]
         broken += _answered(world, row, attempts)
         broken += _repeated(world.town.settings.limits, classes[row.job_class], row, attempts)
-    return broken + _drained(world) + _pushed_over(world)
+    return broken + _drained(world) + _pushed_over(world) + _gone(world)
 
 
 def _answered(world: World, row: Asked, attempts: list[Attempt]) -> list[str]:
-    if row.died:
+    if row.died or row.left < math.inf:
         return []
     if len(row.answers) != 1:
         return [f"{row.id}: {len(row.answers)} answers"]
@@ -120,3 +121,9 @@
                 broken.append(f"{name}: {load:.0f} ms of work in a window where it bears {bears:.0f}")
                 break
     return broken
+
+
+def _gone(world: World) -> list[str]:
+    """Attempts that began although their client had left."""
+    late = [each for each in world.attempts if each.sent > world.asked[each.id].left + GONE]
+    return [f"{each.id}: sent after its client had left" for each in late] if len(late) > FEW else []
--- a/burlmoor/model/world.py
+++ b/burlmoor/model/world.py
@@ -54,6 +54,7 @@
     node: int
     answers: list[tuple[float, c.Answer]] = field(default_factory=list)
     died: bool = False  # its node was killed: nobody owes it anything
+    left: float = math.inf  # when its client closed its connection
 
 
 @dataclass(slots=True)
@@ -131,6 +132,14 @@
         key = f"k{self.rng.randrange(20)}"
         there.take(row, m.Request(0, job_class, given.deadline, work * hint, tenant=tenant, key=key))
 
+    def leave(self, ref: str) -> None:
+        """A client closes its connection, if it still waits for its answer."""
+        row = self.asked[ref]
+        node = self.nodes[row.node]
+        if node is not None and ref in node.jobs and not row.answers:
+            row.left = self.now
+            node.core.gone(node.jobs[ref])
+
     # --- the list -------------------------------------------------------------------------------
 
     def entry(self, name: str) -> m.Entry:
@@ -313,6 +322,7 @@
     def __init__(self, world: World, number: int, life: int) -> None:
         self.world, self.number, self.life, self.alive = world, number, life, True
         self._planned = math.inf
+        self.jobs: dict[str, c.Job] = {}
         seed = hash((world._seed, number, life)) & 0xFFFF
         zone = world.town.zones[number % len(world.town.zones)]
         given = replace(world.town.settings, me=number, zone=zone)
@@ -358,7 +368,9 @@
             def answer(self, answer: c.Answer) -> None:
                 row.answers.append((world.now, answer))
 
-        self.core.take(Client(), row.id, request, None)
+        job = self.core.take(Client(), row.id, request, None)
+        if job is not None:
+            self.jobs[row.id] = job
         self._wake()
 
     # --- what the core asks of its sockets ------------------------------------------------------
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -92,6 +92,13 @@
                         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                             await self.stray.write("HTTP/1.1 503 No", Not_Started="1")
                         self.stray = None
+                    if act.startswith("bytes:"):  # whatever they are; then silence, or the end
+                        data, _, then = act.removeprefix("bytes:").partition("|")
+                        await wire.stream.send_all(data.encode("latin-1"))
+                        if then == "end":
+                            await wire.stream.aclose()
+                            return
+                        continue
                     if act == "stray":
                         self.stray = wire
                         act = "take"
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,7 +12,7 @@
 import trio
 
 from burlmoor.net.pool import REST, Link
-from burlmoor.net.stream import Stream
+from burlmoor.net.stream import Stream, connect
 from tests.peers import Stage, play
 from tests.test_config import OPTIONS
 
@@ -138,6 +138,111 @@
     play(story)
 
 
+HALF = "HTTP/1.1 202 Acc"
+SPOILT = [
+    "HTTP/1.1 2x2 Accepted\r\nContent-Length: 0\r\n\r\n",
+    "\x00\x01\x02\r\n\r\n",
+    "HTTP/1.1 202 Accepted\r\nContent-Length: -4\r\n\r\n",
+    "HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    HALF + "|end",
+    "HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nfour|end",
+    "|end",
+    "HTTP/1.1 202 Accepted\r\nX: " + 300_000 * "x",
+    "HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n" + 300_000 * "x",
+]
+
+
+@pytest.mark.parametrize("said", SPOILT, ids=range(len(SPOILT)))
+@pytest.mark.parametrize(
+    ("name", "status", "forwards"), [("once", 502, 1), ("lookup", 200, 2), ("keyed", 200, 2)]
+)
+def test_an_answer_that_cannot_be_meant_ends_its_forward_as_perhaps_run(
+    name: str, status: int, forwards: int, said: str
+) -> None:
+    async def story(made: Stage) -> None:
+        wire = await made.submit(name)
+        await made.until(lambda: len(made.jobs) == forwards)
+        if forwards == 2:
+            await made.tell("done", "second")
+        answer = await made.answer(wire)
+        assert (answer.status, answer.body == b"second") == (status, forwards == 2)
+        assert len(made.jobs) == forwards
+        assert not made.node.forwards.under_way
+
+    play(story, f"bytes:{said}")
+
+
+@pytest.mark.parametrize(("name", "forwards"), [("lookup", 2), ("keyed", 2), ("once", 1)])
+@pytest.mark.parametrize("said", [HALF, ""])
+def test_an_answer_that_never_ends_holds_only_what_must_not_run_twice(
+    name: str, forwards: int, said: str
+) -> None:
+    async def story(made: Stage) -> None:
+        wire = await made.submit(name, ms=1500)
+        await made.until(lambda: len(made.jobs) == forwards)
+        if forwards == 2:
+            await made.tell("done", "second")
+        answer = await made.answer(wire)
+        assert (answer.status, len(made.jobs)) == ((200, 2) if forwards == 2 else (502, 1))
+        await made.until(lambda: made.broken)  # the connection is not kept
+
+    play(story, f"bytes:{said}|")
+
+
+@pytest.mark.parametrize("name", ["lookup", "keyed", "once"])
+def test_a_result_of_a_forward_that_was_given_up_is_taken_and_changes_nothing(name: str) -> None:
+    async def story(made: Stage) -> None:
+        wire = await made.submit(name, ms=400)
+        await made.until(lambda: made.jobs)
+        answer = await made.answer(wire)  # its time is over: the forward is given up
+        assert answer.status in (502, 503)
+        await made.until(lambda: made.deleted)
+        assert await made.tell("done", "late", job=0) == 204
+        assert await made.tell("done", "late", job=0) == 204  # executors repeat what they tell
+        other = await made.submit(name, "b1")  # on another connection, with its own answer
+        await made.until(lambda: numbers(made, "b1"))
+        await made.tell("done", "fine", job=numbers(made, "b1")[0])
+        assert (await made.answer(other)).body == b"fine"
+
+    play(story)
+
+
+def test_a_dial_that_comes_up_after_it_was_given_up_carries_nothing_and_is_not_counted_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story(made: Stage) -> None:
+        up, go = trio.Event(), trio.Event()
+
+        async def late(dial: str, limit: int) -> Stream:
+            stream = await connect(dial, limit)
+            up.set()
+            await go.wait()
+            return stream
+
+        monkeypatch.setattr("burlmoor.net.pool.connect", late)
+        wire = await made.submit()
+        await up.wait()
+        await wire.stream.aclose()
+        await made.until(lambda: not made.node.core.open_jobs)
+        go.set()
+        await made.until(lambda: not made.node.forwards.under_way and not made.node.pool.open)
+        assert not made.jobs
+
+    play(story)
+
+
+def test_a_forward_whose_task_dies_still_ends_and_its_client_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story(made: Stage) -> int:
+        monkeypatch.setattr(made.node.pool, "take", lambda _dial: 1 // 0)
+        return (await made.answer(await made.submit("once", ms=800))).status
+
+    lines: list[str] = []
+    assert play(story, lines=lines) == 502  # what became of it is not known
+    assert any("forward-failed" in line for line in lines)
+
+
 # --- the node closes ------------------------------------------------------------------------------
 
 
