Let what executors made jobs wait lately go before the usual wait, instead of shortening its memory

Now the usual wait is as it was, and starts are kept beside it for as long as two jobs run; that goes first where there is any.

--- a/burlmoor/book.py
+++ b/burlmoor/book.py
@@ -52,6 +52,7 @@
         self.fleet_slow, self.fleet_clean, self.promptness = Mean(), Mean(), Mean()
         self.kind_slow: dict[str, Mean] = defaultdict(Mean)
         self.usual_delay: dict[tuple[str, str], Mean] = defaultdict(Mean)
+        self.delay_lately: dict[tuple[str, str], Mean] = defaultdict(Mean)
         self.hit, self.miss = Mean(), Mean()  # what jobs took beyond their time, key at hand or not
         self.mean_work, self.mean_run = Mean(), Mean()
         self.fleet_value = Mean()  # what a ms of a slot promised to earn, as a logarithm
@@ -84,10 +85,12 @@
     def delay(self, worker: Worker, now: float, pace: float) -> float:
         """Expected wait at this worker, from start delays seen there lately, else on its kind in its zone.
 
-        Both are news on load: a node of many has hardly met this worker, and a burst is over in seconds.
+        There too what was seen lately goes first: a node of many has hardly met this worker, and a burst is
+        over in seconds.
         """
-        usual = self.usual_delay[worker.zone, worker.kind]
-        return worker.delay.read(now, pace, usual.read(now, pace, 0.0))
+        of_kind = worker.zone, worker.kind
+        usual = self.usual_delay[of_kind].read(now, SKILL_HALF, 0.0)
+        return worker.delay.read(now, pace, self.delay_lately[of_kind].read(now, pace, usual))
 
     def stability(self, worker: Worker, now: float) -> float:
         """The share of jobs done cleanly here, against the whole fleet's so that none is judged alone."""
@@ -114,7 +117,9 @@
         elif worker.slots > worker.room - 1.0:
             worker.room += 1.0 / worker.room
         worker.delay.add(now, wait, self.pace(now), weight)
-        self.usual_delay[worker.zone, worker.kind].add(now, wait, self.pace(now), weight)
+        self.usual_delay[worker.zone, worker.kind].add(now, wait, SKILL_HALF, weight)
+        if started:  # one that has not may hang, which is no sign of a burst
+            self.delay_lately[worker.zone, worker.kind].add(now, wait, self.pace(now))
 
     def learn_run(self, worker: Worker, work: float, run: float, now: float, weight: float = 1.0) -> float:
         """A job ran (or by its progress will run) this long; returns how slow that is for its kind."""
