Let each step of a stop follow from the longest deadline, after which SIGKILL may come

Found by reading with another customer's settings in mind: the protocol has SIGKILL come 0.7 s after the longest deadline (3 s at most counted), and net/serving.py and __main__.py had the steps for 3 s fixed: closing at 2.0 s, refusing at 2.5 s, all answered by 3.3 s. With deadlines of 1 s SIGKILL may come at 1.7 s, when the node still took requests on every connection; what came after 0.7 s was open and lost.

Change: killed_after() gives that time from the settings; the steps are 1.7 and 1.2 s before it (0.4 and 0.9 s after SIGTERM at least), and what is open is answered 0.4 s before it. From 3 s on nothing changes.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -21,7 +21,7 @@
 from burlmoor.net.forwards import Forwards
 from burlmoor.net.front import Front
 from burlmoor.net.pool import REST, Pool
-from burlmoor.net.serving import Service, Serving
+from burlmoor.net.serving import Service, Serving, killed_after
 from burlmoor.net.stream import listening
 from burlmoor.net.target_group import TargetGroup
 from burlmoor.net.watch import Watch
@@ -41,9 +41,7 @@
 _TARGETS_PART = 0.3  # of the rest: a forward holds a connection only until its 202
 _AGENT_WITHIN = 0.2  # seconds that an agent may take for the first list, before clients are taken
 _IDLE_PART = 0.4  # of the time after which a target's machine closes an idle connection
-# Seconds after SIGTERM: until clients may still come, and when whatever came after that is answered, well
-# before a SIGKILL (3.7 at the earliest).
-_CLIENTS_COME, _ALL_ANSWERED = 0.7, 3.3
+_CLIENTS_COME = 0.7  # seconds after SIGTERM from which on what comes may be met by SIGKILL
 
 
 class Node:
@@ -70,7 +68,7 @@
         self.core.targets, self.core.target_list = self.forwards, self.watch
         classes = [each.name for each in decisions.classes]
         self.group.start_from(given.known)
-        self.service = Service()
+        self.service = Service(killed_after(each.deadline / 1000.0 for each in decisions.classes))
         sock = listening(given.listen, given.passed)
         self.front = Front(self.core, classes, sock, sockets - targets, self.service, nursery, log)
         name = quote(given.name, safe="")
@@ -185,7 +183,7 @@
             return
         self._log("stopping", open=self.core.open_jobs)
         self.service.stop()
-        answered = self._clock() + 1000.0 * _ALL_ANSWERED
+        answered = self._clock() + 1000.0 * self.service.all_answered
         if self.succession.yielded:
             # Clients come to the process that has taken over; SIGKILL would lose what is open here by then.
             self.core.answer_all_by(answered)
--- a/burlmoor/net/serving.py
+++ b/burlmoor/net/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from enum import IntEnum
 
 import trio
@@ -18,9 +19,9 @@
 
 Steps = tuple[tuple[float, Serving], ...]
 
-# Seconds after SIGTERM. Guards against a gap in service: the node restarted before may not be back yet.
-# Clients may come for 0.4 s and take 2 s to write what they ask.
-_STOP: Steps = ((2.5, Serving.REFUSING), (2.0, Serving.CLOSING), (0.0, Serving.AWAY))
+# Seconds after SIGTERM until SIGKILL may come: the longest deadline, this at most, and a part that is fixed.
+_LONGEST_COUNTED, _KILL_AFTER = 3.0, 0.7
+_COMING = 0.4  # seconds after SIGTERM for which clients' new connections may come
 # Seconds after a drain is asked for. Those who send clients have heard of it after 0.3 s. What is taken after
 # 2 s would be a young job 4 s after the call, when none may be here.
 _DRAIN: Steps = ((2.0, Serving.REFUSING), (0.8, Serving.CLOSING), (0.0, Serving.AWAY))
@@ -32,13 +33,31 @@
     return next((state for after, state in steps if now >= since + after), Serving.OPEN)
 
 
+def killed_after(deadlines: Iterable[float]) -> float:
+    """Seconds after SIGTERM until SIGKILL may come, where jobs have these deadlines (s)."""
+    return min(max(deadlines, default=_LONGEST_COUNTED), _LONGEST_COUNTED) + _KILL_AFTER
+
+
+def _stop(killed: float) -> Steps:
+    """The steps of a stop, each as late as a SIGKILL then allows.
+
+    Guards against a gap in service: the node restarted before may not be back yet. Clients go on for as long
+    as their connections stay open, and may take 2 s to write what they ask.
+    """
+    closing = max(_COMING, killed - 1.7)
+    return ((closing + 0.5, Serving.REFUSING), (closing, Serving.CLOSING), (0.0, Serving.AWAY))
+
+
 class Service:
     """Owns when a stop and a drain began; the state follows from the time that has passed.
 
     No task moves it, so a drain can be ended, or met by a stop, at any point with nothing left half done.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, killed: float = _LONGEST_COUNTED + _KILL_AFTER) -> None:
+        self._stop = _stop(killed)
+        # What came late in a stop is answered by then (seconds after SIGTERM): SIGKILL would lose it.
+        self.all_answered = max(killed - 0.4, 0.8 * killed)
         self._stopped: float | None = None
         self._drained: float | None = None
 
@@ -46,7 +65,7 @@
     def state(self) -> Serving:
         """How far clients are sent away by now."""
         now = trio.current_time()
-        return max(_step(self._stopped, _STOP, now), _step(self._drained, _DRAIN, now))
+        return max(_step(self._stopped, self._stop, now), _step(self._drained, _DRAIN, now))
 
     @property
     def stopping(self) -> bool:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -285,6 +285,56 @@
     play(story)
 
 
+def classes(deadline: float) -> dict[str, Any]:
+    """The usual settings, with this deadline (ms) for all."""
+    return {
+        **OPTIONS,
+        "RequestClasses": [{**each, "HardLimit": deadline} for each in OPTIONS["RequestClasses"]],
+    }
+
+
+@pytest.mark.parametrize("deadline", [400.0, 1000.0, 2000.0, 5000.0])
+def test_what_comes_late_in_a_stop_is_answered_before_sigkill_may_come(deadline: float) -> None:
+    # SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM; 3.7 s where that is longer.
+    killed = min(deadline / 1000.0, 3.0) + 0.7
+    late: list[float] = []
+
+    async def story(made: Stage) -> None:
+        began = trio.current_time()
+
+        async def client(number: int) -> None:
+            """Asks again and again on its connection for as long as that stays open, then once on a new one."""
+            wire = await made.client()
+            for again in range(1000):
+                asked = trio.current_time() - began
+                if asked >= killed:
+                    return
+                try:
+                    await made.ask(wire, "once", f"c{number}-{again}", int(deadline))
+                    answer = await wire.read()
+                except trio.BrokenResourceError:
+                    answer = None
+                if answer is not None and asked > 0.7:
+                    late.append(trio.current_time() - began)
+                if answer is None or answer.headers.get("connection") == "close":
+                    if trio.current_time() - began > 0.4:
+                        return
+                    wire = await made.client()
+                await trio.sleep(0.02)
+
+        made.nursery.start_soon(made.node.stop)
+        with trio.move_on_after(killed):
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    nursery.start_soon(client, number)
+        # Whoever still waits for an answer now asked less than 0.7 s after SIGTERM, or not at all.
+        assert not made.node.core.open_jobs
+        assert not made.node.front.unsent
+
+    play(story, given_settings=classes(deadline))
+    assert all(at < killed for at in late)
+
+
 async def reset(wire: Any) -> None:
     """End a connection as a dying process does."""
     wire.reset()
