--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -303,7 +303,7 @@
         began = trio.current_time()
 
         async def client(number: int) -> None:
-            """Asks again and again on its connection for as long as that stays open, then once on a new one."""
+            """Asks again and again on its connection for as long as that stays open."""
             wire = await made.client()
             for again in range(1000):
                 asked = trio.current_time() - began
