Add a failing test: attempts that a partition held back reach executors that drain by then

What fits is that attempts given up before the drain are still delivered by the kernel once the servers can be reached again.

--- a/burlmoor/testbed/local_cluster.py
+++ b/burlmoor/testbed/local_cluster.py
@@ -16,6 +16,7 @@
 from burlmoor.testbed.executor import Executor
 from burlmoor.testbed.executor_model import ExecutorSpec
 from burlmoor.testbed.job_classes import JobClass, platform_settings
+from burlmoor.testbed.network_link import NetworkLink
 from burlmoor.testbed.node_process import NodeProcess
 
 _DRAIN_SECONDS = 0.1  # from the announcement until an executor that drains returns its queued jobs
@@ -51,10 +52,19 @@
 
 
 class LocalCluster:
-    """All processes of one installation, and the record of what clients and executors observe."""
+    """All processes of one installation, and the record of what clients and executors observe.
+
+    With `has_links` nodes reach executors over links that can be cut. A link accepts for an executor that is
+    not running, and resets what it accepted.
+    """
 
     def __init__(
-        self, nursery: trio.Nursery, folder: Path, specs: Mapping[str, ExecutorSpec], nodes: int
+        self,
+        nursery: trio.Nursery,
+        folder: Path,
+        specs: Mapping[str, ExecutorSpec],
+        nodes: int,
+        has_links: bool = False,
     ) -> None:
         self.nursery = nursery
         self.event_record = EventRecord()
@@ -65,6 +75,8 @@
         self.specs = dict(specs)
         self.nodes = [NodeProcess(f"n{number}", folder / f"n{number}") for number in range(nodes)]
         self.clients: list[ClientPool] = []
+        self._has_links = has_links
+        self._links: dict[tuple[str, str], NetworkLink] = {}  # by node and executor
         self.settings = platform_settings(nodes=nodes)
         self._discovery_addresses: dict[str, str] = {}  # by node
 
@@ -74,6 +86,9 @@
             addresses = {}
             for name, executor in self.executors.items():
                 addresses[name] = await executor.listen_for_node(node.name, node.address)
+                if self._has_links:
+                    link = self._links[node.name, name] = NetworkLink(addresses[name], self.nursery)
+                    addresses[name] = await link.open()
             discovery_address = await self.discovery.listen_for_node(node.name, addresses)
             self._discovery_addresses[node.name] = discovery_address
         for name in self.executors:
@@ -89,6 +104,12 @@
         discovery_address = self._discovery_addresses[node.name]
         await node.start(self.nursery, self.settings, discovery_address, known_list)
 
+    # --- the network ------------------------------------------------------------------------------
+
+    def links_to(self, executor: str) -> list[NetworkLink]:
+        """Return the links from all nodes to one executor."""
+        return [link for (_, name), link in self._links.items() if name == executor]
+
     # --- failures that discovery announces --------------------------------------------------------
 
     async def kill_executor(self, name: str, announced_after: float, restarted_after: float) -> None:
@@ -140,11 +161,12 @@
     nodes: int = 1,
     options: str | None = None,
     start: bool = True,
+    has_links: bool = False,
     **changes: Any,
 ) -> AsyncIterator[LocalCluster]:
     """Run an installation; with `start` false the caller starts it. `changes` alter the platform settings."""
     async with trio.open_nursery() as nursery:
-        cluster = LocalCluster(nursery, folder, specs, nodes)
+        cluster = LocalCluster(nursery, folder, specs, nodes, has_links)
         cluster.settings = {**cluster.settings, **changes}
         for node in cluster.nodes:
             node.options_text = options
--- /dev/null
+++ b/tests/integration/test_partitions.py
@@ -0,0 +1,73 @@
+"""Partitions over processes: what a node has written to an executor that was cut off, once the link heals."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import trio
+
+from burlmoor.testbed.clock import now_ms
+from burlmoor.testbed.job_classes import JOB_CLASSES, JobClass
+from burlmoor.testbed.local_cluster import LocalCluster, executor_specs, local_cluster, new_request
+
+SEARCH, _, CONFIRM = JOB_CLASSES
+CUT_OFF = ("s-000", "s-001")  # of three executors
+DRAIN_GRACE_MS = 250.0
+GRACE_ALLOWANCE_MS = 150.0  # on a loaded machine
+
+
+def run_with_links(folder: Path, scenario: Callable[[LocalCluster], Awaitable[None]]) -> None:
+    """Run a scenario on a real node process with three executors behind links."""
+
+    async def run() -> None:
+        with trio.fail_after(60.0):
+            async with local_cluster(folder, executor_specs(3), has_links=True) as cluster:
+                await scenario(cluster)
+
+    trio.run(run)
+
+
+async def send_jobs(cluster: LocalCluster, job_class: JobClass, prefix: str, count: int) -> None:
+    """Send jobs, a few ms apart, and wait for all answers."""
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            request = new_request(f"{prefix}{number:03d}", job_class, 100.0)
+            nursery.start_soon(cluster.clients[0].send, request)
+            await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize("job_class", [SEARCH, CONFIRM], ids=lambda each: each.name)
+@pytest.mark.parametrize("health", ["left", "leaving"])
+def test_what_a_partition_held_back_does_not_reach_an_executor_that_drains_by_then(
+    tmp_path: Path, job_class: JobClass, health: str
+) -> None:
+    async def partition(cluster: LocalCluster) -> None:
+        # Some connections to each executor lie idle then; only those take requests while a link is cut.
+        await send_jobs(cluster, SEARCH, "aa", 60)
+        await trio.sleep(0.2)
+        links = [link for name in CUT_OFF for link in cluster.links_to(name)]
+        for link in links:
+            link.cut()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_jobs, cluster, job_class, "bb", 60)
+            await trio.sleep(1.2)
+            held = sum(link.held_connections for link in links)
+            assert held > 0, "the partition held nothing back: the test proves nothing"
+            for name in CUT_OFF:
+                cluster.discovery.set_entry(name, health=health)
+            told_ms = now_ms()
+            await trio.sleep(1.5)
+            for link in links:
+                link.heal()
+        await trio.sleep(0.5)
+        late = [
+            attempt.id
+            for attempt in cluster.event_record.attempts
+            if attempt.executor in CUT_OFF
+            and attempt.received_ms > told_ms + DRAIN_GRACE_MS + GRACE_ALLOWANCE_MS
+        ]
+        assert not late, f"{len(late)} of {held} attempts arrived after the node was told of the drain"
+
+    run_with_links(tmp_path, partition)
