Withdraw what an attempt has written when it is given up: reset its connection

Cause: close() leaves what was written to the kernel, which goes on sending it. An attempt that was given up while its executor was cut off arrived once the executor could be reached again, seconds after the node was notified of its drain.

--- a/burlmoor/transport/stream.py
+++ b/burlmoor/transport/stream.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+import struct
 from contextlib import suppress
 
 import trio
@@ -13,6 +14,8 @@
 
 _RECEIVE_BYTES = 16384
 _DISCARD_PAUSE_SECONDS = 0.05  # between reads from a peer that sends without end
+_LINGER_OFF = struct.pack("ii", 0, 0)  # of SO_LINGER: close() queues the end behind what was written
+_LINGER_RESET = struct.pack("ii", 1, 0)  # close(), or the end of the process, discards it and sends a reset
 _DISCARD_BUFFER = bytearray(128 * 1024)  # receives what is discarded; shared, since it is never read
 
 
@@ -138,6 +141,16 @@
             with suppress(OSError):
                 self._sock.shutdown(socket.SHUT_WR)
 
+    def set_reset_on_close(self, is_on: bool) -> None:
+        """Let the close of the socket, also by the end of this process, discard what was not delivered yet.
+
+        Without it, the kernel goes on delivering what was written, for minutes if the peer is cut off.
+        """
+        if self._sock is not None:
+            linger = _LINGER_RESET if is_on else _LINGER_OFF
+            with suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def detach(self) -> socket.socket | None:
         """Return the socket, still open, and let go of it; tasks that wait on it are woken."""
         sock, self._sock = self._sock, None
--- a/burlmoor/upstream/connection.py
+++ b/burlmoor/upstream/connection.py
@@ -30,12 +30,16 @@
         self.address = address
         self._stream = stream
         self._http = HttpClientConnection(address, body_limit)
+        self._has_open_request = False  # whether a request was begun whose response is not complete
+        # From the start, since the process may be killed at any moment.
+        stream.set_reset_on_close(True)
         self.is_reused = False  # whether it has carried a request before this one
         self.idle_since = 0.0
         self.reused_at = 0.0
 
     async def write(self, method: bytes, path: bytes, headers: list[tuple[str, str]], body: bytes) -> None:
         """Write a complete request; RequestNotSentError if the connection breaks before its last byte."""
+        self._has_open_request = True
         try:
             self._stream.send(self._http.encode_request(method, path, headers, body))
             await self._stream.drain()
@@ -51,6 +55,7 @@
                 raise BrokenResponseError(str(error)) from error
             response = self._http.receive(self._stream.inbound.read_all() if has_received else b"")
             if response is not None:
+                self._has_open_request = False
                 return response
 
     async def exchange(self, method: bytes, path: bytes) -> Response:
@@ -74,7 +79,14 @@
         return self._stream.is_idle_open()
 
     def close(self) -> None:
-        """Close the connection; repeated, it changes nothing."""
+        """Close the connection; repeated, it changes nothing.
+
+        A request that has no complete response is withdrawn: what is not delivered yet never will be. Without
+        this, an executor that was cut off would get it once it can be reached again, when it may drain, when
+        the job may run elsewhere, and when its client has long had its answer.
+        """
         if not self._stream.is_closed:
+            if not self._has_open_request:
+                self._stream.set_reset_on_close(False)
             self._stream.close()
             self._pool.on_connection_closed()
