Withdraw unaccepted attempts at endpoints that stop being live; count violated rules

Cause: an attempt that waits for its 202 when its endpoint is announced to drain may not have arrived yet. It is withdrawn 0.1 s later unless it is accepted by then.

--- a/burlmoor/endpoints/directory.py
+++ b/burlmoor/endpoints/directory.py
@@ -7,7 +7,7 @@
 
 from burlmoor.endpoints.discovered_list import DiscoveredEndpoint, DiscoveredList
 from burlmoor.endpoints.endpoint_table import EndpointTable, ListedEndpoint
-from burlmoor.endpoints.interfaces import EndpointListObserver, IdleConnections
+from burlmoor.endpoints.interfaces import EndpointListObserver, IdleConnections, LivenessObserver
 from burlmoor.endpoints.list_validation import InvalidEndpointListError, decode_list, validate_entries
 from burlmoor.endpoints.overrides import EndpointOverrides
 from burlmoor.log import EventLogger
@@ -35,6 +35,11 @@
         self._log = log
         self._table = EndpointTable()
         self.overrides = EndpointOverrides()
+        self._liveness_observer: LivenessObserver | None = None
+
+    def observe_liveness(self, observer: LivenessObserver) -> None:
+        """Report to this observer which endpoints stop being live."""
+        self._liveness_observer = observer
 
     # --- queries ----------------------------------------------------------------------------------
 
@@ -67,8 +72,11 @@
 
     def disable(self, name: str) -> None:
         """Send no new work to this endpoint until it is enabled again; repeated, it changes nothing."""
+        was_live = self.find_live(name) is not None
         if self.overrides.disable(name, _unix_ms()):
             self._report([name])
+            if was_live:
+                self._report_not_live({name})
 
     def enable(self, name: str) -> None:
         """Let the list's state hold for this endpoint again; repeated, it changes nothing."""
@@ -83,8 +91,16 @@
     def set_overrides(self, overrides: EndpointOverrides) -> None:
         """Replace all overrides."""
         names = self.overrides.names() | overrides.names()
+        live_before = {name for name in names if self.find_live(name) is not None}
         self.overrides = overrides
         self._report(names)
+        self._report_not_live(live_before)
+
+    def _report_not_live(self, live_before: set[str]) -> None:
+        """Report those of these endpoints that are not live any more."""
+        names = frozenset(name for name in live_before if self.find_live(name) is None)
+        if names and self._liveness_observer is not None:
+            self._liveness_observer.on_endpoints_not_live(names)
 
     def _report(self, names: Iterable[str]) -> None:
         entries = [self._table.entries[name] for name in names if name in self._table]
@@ -101,8 +117,10 @@
     def restore(self, from_predecessor: DiscoveredList | None) -> None:
         """Take in the list of the process before this one, which is newer than the cached one."""
         if from_predecessor is not None:
+            live_before = self._table.live_names()
             entries = self._merge(from_predecessor)
             self._observer.on_endpoint_list(ListKind.SNAPSHOT, self._policy_entries(entries))
+            self._report_not_live(live_before)
 
     def apply_response(self, body: bytes) -> None:
         """Take in a response of the discovery service.
@@ -125,6 +143,7 @@
         if received.is_complete or entries:
             kind = ListKind.SNAPSHOT if received.is_complete else ListKind.DELTA
             self._observer.on_endpoint_list(kind, self._policy_entries(entries))
+            self._report_not_live(live_before)
 
     def _merge(self, update: DiscoveredList) -> list[DiscoveredEndpoint]:
         """Merge a list with what is known; its entries as they now hold."""
--- a/burlmoor/endpoints/interfaces.py
+++ b/burlmoor/endpoints/interfaces.py
@@ -14,6 +14,13 @@
         """Take in an update: entries with the administrative overrides laid over them."""
 
 
+class LivenessObserver(Protocol):
+    """Learns which endpoints may not be sent new work any more."""
+
+    def on_endpoints_not_live(self, names: frozenset[str]) -> None:
+        """Take in that these endpoints were live until now: they drain, are gone, or were disabled."""
+
+
 class IdleConnections(Protocol):
     """The idle connections to endpoints."""
 
--- a/burlmoor/engine/attempt_controller.py
+++ b/burlmoor/engine/attempt_controller.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from burlmoor.engine.answers import Served
+from burlmoor.engine.attempt_guard import AttemptGuard
 from burlmoor.engine.deadlines import DeadlineQueue
 from burlmoor.engine.interfaces import JobAnswerer, Upstream
 from burlmoor.engine.job import Attempt, Job
@@ -27,6 +28,7 @@
         answerer: JobAnswerer,
         upstream: Upstream,
         limits: Limits,
+        guard: AttemptGuard,
         clock: Callable[[], float],
     ) -> None:
         self._jobs = jobs
@@ -35,6 +37,7 @@
         self._answerer = answerer
         self._upstream = upstream
         self._limits = limits
+        self._guard = guard
         self._clock = clock
 
     def start(self, action: StartAttempt, now: float) -> None:
@@ -44,7 +47,7 @@
             return
         attempt_deadline = min(job.deadline, now + action.timeout_ms) if action.timeout_ms else job.deadline
         attempt = Attempt(job, len(job.attempts), action.endpoint, now, attempt_deadline)
-        may_start = self._may_start(job, attempt, now)
+        may_start = self._guard.may_start(job, attempt, now)
         job.attempts.append(attempt)
         if not may_start:
             self.end(attempt, Outcome.UNSENT)
@@ -55,12 +58,6 @@
                 self._deadlines.schedule(attempt_deadline, attempt)
             self._upstream.start_attempt(attempt)
 
-    def _may_start(self, job: Job, attempt: Attempt, now: float) -> bool:
-        if job.is_closed or now >= job.deadline or attempt.number >= self._limits.max_attempts:
-            return False
-        # A call-back names its attempt by request and endpoint, so an endpoint gets one attempt of a job.
-        return all(earlier.endpoint != attempt.endpoint for earlier in job.attempts)
-
     def cancel(self, action: CancelAttempt) -> None:
         """Cancel an attempt as the policy asks."""
         job = self._jobs.find_by_number(action.id)
--- /dev/null
+++ b/burlmoor/engine/attempt_guard.py
@@ -0,0 +1,32 @@
+"""Whether an attempt may be started: the one guard of first attempts, retries and hedged requests.
+
+What is checked right before the first byte, after all waiting: `upstream/send_precondition.py`.
+"""
+
+from __future__ import annotations
+
+from burlmoor.engine.job import Attempt, Job
+from burlmoor.invariants import Invariant, InvariantMonitor
+
+
+class AttemptGuard:
+    """Refuses attempts that would break a rule, whatever the policy has asked for."""
+
+    def __init__(self, max_attempts: int, invariants: InvariantMonitor) -> None:
+        self._max_attempts = max_attempts
+        self._invariants = invariants
+
+    def may_start(self, job: Job, attempt: Attempt, now: float) -> bool:
+        """Return whether a new attempt of the job may be started now."""
+        if job.is_closed or now >= job.deadline or attempt.number >= self._max_attempts:
+            return False
+        # A call-back names its attempt by request and endpoint, so an endpoint gets one attempt of a job.
+        if any(earlier.endpoint == attempt.endpoint for earlier in job.attempts):
+            return False
+        if job.is_non_idempotent and job.may_have_run():
+            # The policy must not ask for this (`policy/safety.py`).
+            self._invariants.record_violation(
+                Invariant.REPEAT, id=job.id, target=attempt.endpoint, attempt=attempt.number
+            )
+            return False
+        return True
--- a/burlmoor/engine/engine.py
+++ b/burlmoor/engine/engine.py
@@ -14,6 +14,7 @@
 from burlmoor.engine.action_executor import ActionExecutor
 from burlmoor.engine.answers import Failed, FinalAnswer, Rejected
 from burlmoor.engine.attempt_controller import AttemptController
+from burlmoor.engine.attempt_guard import AttemptGuard
 from burlmoor.engine.deadlines import DeadlineQueue
 from burlmoor.engine.deferral import JobDeferral, RunConditions
 from burlmoor.engine.deferral_controller import DeferralController
@@ -21,6 +22,7 @@
 from burlmoor.engine.job import Attempt, Job
 from burlmoor.engine.job_registry import JobRegistry
 from burlmoor.engine.policy_driver import PolicyDriver
+from burlmoor.invariants import InvariantMonitor
 from burlmoor.log import EventLogger
 from burlmoor.policy.dispatcher import Dispatcher
 from burlmoor.stats.snapshot import StatisticsSnapshot, restore_snapshot, take_snapshot
@@ -57,6 +59,7 @@
         self.jobs = JobRegistry()
         self.ids_in_other_process = self.jobs.ids_in_other_process  # for the handover, which keeps it
         self._log = log
+        self.invariants = InvariantMonitor(log)
         self._policy = Dispatcher(settings, seed)
         self._policy_driver = PolicyDriver(self._policy, self.jobs, log, wake)
         self._deadlines = DeadlineQueue(settings.classes)
@@ -71,8 +74,10 @@
     def connect(self, upstream: Upstream, discovery: Discovery) -> None:
         """Connect the parts that carry out what concerns executors and the endpoint list."""
         driver = self._policy_driver
+        limits = self.settings.limits
+        guard = AttemptGuard(limits.max_attempts, self.invariants)
         self._attempts = AttemptController(
-            self.jobs, self._deadlines, driver, self, upstream, self.settings.limits, self.clock
+            self.jobs, self._deadlines, driver, self, upstream, limits, guard, self.clock
         )
         self._actions = ActionExecutor(
             self.jobs, self._attempts, driver, self, upstream, discovery, self._log
--- /dev/null
+++ b/burlmoor/invariants.py
@@ -0,0 +1,39 @@
+"""The rules on attempts that must hold on every path, and the count of each violation seen at run time.
+
+The guards that keep these rules (`engine/attempt_guard.py`, `upstream/send_precondition.py`) refuse what
+would break one. What is counted here is a defect of the node, also where a guard has refused it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+
+class Invariant(Enum):
+    """One rule; the value is its name in the log."""
+
+    SEND = "send"  # a request is written only to an endpoint that is live, and to its present process
+    WITHDRAW = "withdraw"  # no unaccepted request stays at an endpoint that is not live any more
+    REPEAT = "repeat"  # a non-idempotent job that may have run is not sent again
+    START = "start"  # nothing is written for a job that is closed
+    CLOSE = "close"  # a connection with an unanswered request is closed by a reset
+
+
+class InvariantMonitor:
+    """Counts the violations of each invariant and logs each one."""
+
+    def __init__(self, log: Callable[..., None]) -> None:
+        self._log = log
+        self._counts: Counter[Invariant] = Counter()
+
+    def record_violation(self, invariant: Invariant, **fields: Any) -> None:
+        """Count one violation; the fields say what was seen."""
+        self._counts[invariant] += 1
+        self._log("invariant-violated", invariant=invariant.value, count=self._counts[invariant], **fields)
+
+    def counts(self) -> dict[str, int]:
+        """Return how often each invariant was violated, by its name; those that were not are left out."""
+        return {invariant.value: count for invariant, count in self._counts.items()}
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -95,6 +95,7 @@
             settings.policy.limits.connect_timeout_ms / 1000.0,
             max_connections,
             reuse_delay_seconds=REUSE_DELAY_SECONDS,
+            invariants=self.engine.invariants,
         )
 
     def _build_discovery_pool(self) -> ConnectionPool:
--- a/burlmoor/transport/stream.py
+++ b/burlmoor/transport/stream.py
@@ -141,15 +141,20 @@
             with suppress(OSError):
                 self._sock.shutdown(socket.SHUT_WR)
 
-    def set_reset_on_close(self, is_on: bool) -> None:
+    def set_reset_on_close(self, is_on: bool) -> bool:
         """Let the close of the socket, also by the end of this process, discard what was not delivered yet.
 
         Without it, the kernel goes on delivering what was written, for minutes if the peer is cut off.
+        Returns whether the socket is set so now.
         """
-        if self._sock is not None:
+        if self._sock is None:
+            return False
+        try:
             linger = _LINGER_RESET if is_on else _LINGER_OFF
-            with suppress(OSError):
-                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError:
+            return False
+        return True
 
     def detach(self) -> socket.socket | None:
         """Return the socket, still open, and let go of it; tasks that wait on it are woken."""
--- a/burlmoor/upstream/attempts.py
+++ b/burlmoor/upstream/attempts.py
@@ -10,8 +10,10 @@
 import trio
 
 from burlmoor.endpoints.directory import EndpointDirectory
+from burlmoor.endpoints.endpoint_table import ListedEndpoint
 from burlmoor.engine.engine import Engine
 from burlmoor.engine.job import Attempt
+from burlmoor.invariants import Invariant
 from burlmoor.log import EventLogger
 from burlmoor.types.outcome import Outcome
 from burlmoor.upstream.connection import PooledConnection
@@ -34,6 +36,11 @@
 # Seconds in which an endpoint accepts or rejects an attempt: measured 0.3 at most, where it paused meanwhile.
 _ACCEPT_TIMEOUT_SECONDS = 0.45
 _CANCEL_TIMEOUT_SECONDS = 2.0  # of a DELETE
+# After an endpoint was notified to drain, until its unaccepted attempts are withdrawn. The drain rule gives
+# 0.25 s, of which a node may be held up for 0.15 s.
+_WITHDRAW_AFTER_SECONDS = 0.1
+# The same, until one that is still there counts as a violation: the node may have been busy.
+_WITHDRAWN_AFTER_SECONDS = 0.25
 
 
 class RequestPayload(Protocol):
@@ -61,7 +68,9 @@
     """An attempt that waits for its 202."""
 
     scope: trio.CancelScope
+    is_written: bool = False  # whether the request's last byte has been written
     is_accepted: bool = False
+    is_withdrawn: bool = False  # whether its endpoint was not live any more before it had accepted the job
 
 
 class AttemptRunner:
@@ -88,6 +97,7 @@
         self._health_checker = HealthChecker(engine, directory, pool, clock, log)
         self._in_flight: dict[Attempt, _InFlight] = {}
         self.pending_cancels = 0  # DELETE calls in flight
+        directory.observe_liveness(self)
 
     @property
     def in_flight(self) -> int:
@@ -115,6 +125,38 @@
         """Start a health check of an endpoint; the engine learns the outcome."""
         self._nursery.start_soon(self._health_checker.check, endpoint)
 
+    # --- what the directory requires --------------------------------------------------------------
+
+    def on_endpoints_not_live(self, names: frozenset[str]) -> None:
+        """Withdraw, soon, the attempts at these endpoints that are not accepted by then."""
+        for attempt in self._in_flight:
+            if attempt.endpoint in names:
+                self._nursery.start_soon(self._withdraw_unaccepted, attempt)
+
+    async def _withdraw_unaccepted(self, attempt: Attempt) -> None:
+        """Withdraw an attempt unless its endpoint accepts it within the grace.
+
+        Without this, a request that a partition holds back would arrive at an endpoint that drains.
+        """
+        await trio.sleep(_WITHDRAW_AFTER_SECONDS)
+        in_flight = self._in_flight.get(attempt)
+        if in_flight is None or in_flight.is_accepted or self._directory.find_live(attempt.endpoint):
+            return
+        in_flight.is_withdrawn = True
+        in_flight.scope.cancel()
+        self._log(
+            "attempt-withdrawn",
+            id=attempt.job.id,
+            target=attempt.endpoint,
+            attempt=attempt.number,
+            written=in_flight.is_written,
+        )
+        await trio.sleep(_WITHDRAWN_AFTER_SECONDS - _WITHDRAW_AFTER_SECONDS)
+        if self._in_flight.get(attempt) is in_flight:
+            self._engine.invariants.record_violation(
+                Invariant.WITHDRAW, id=attempt.job.id, target=attempt.endpoint
+            )
+
     # --- one attempt ------------------------------------------------------------------------------
 
     async def _run(self, attempt: Attempt, in_flight: _InFlight) -> None:
@@ -123,6 +165,10 @@
                 outcome = await self._exchange(attempt, in_flight)
                 if outcome is not None:
                     self._engine.on_attempt_ended(attempt, outcome)
+            if in_flight.is_withdrawn and in_flight.scope.cancelled_caught:
+                # A request of which not all was written has not run.
+                outcome = Outcome.RESET if in_flight.is_written else Outcome.UNREACHABLE
+                self._engine.on_attempt_ended(attempt, outcome)
         except Exception as error:  # noqa: BLE001
             # The boundary of the attempt's task: without this, an error in one attempt would end the node.
             # Whether the job has run is not known.
@@ -134,7 +180,7 @@
     async def _exchange(self, attempt: Attempt, in_flight: _InFlight) -> Outcome | None:
         """Send the request and read the response; the outcome, or None if the endpoint accepts the job."""
         try:
-            connection = await self._send_request(attempt)
+            connection = await self._send_request(attempt, in_flight)
         except SendPreconditionError:
             return Outcome.UNSENT
         except (ConnectError, RequestNotSentError):
@@ -161,7 +207,7 @@
         # Without this, a job would wait until its deadline on a connection that has fallen silent.
         raise ResponseTimeoutError(timeout)
 
-    async def _send_request(self, attempt: Attempt) -> PooledConnection:
+    async def _send_request(self, attempt: Attempt, in_flight: _InFlight) -> PooledConnection:
         """Write the complete request to a connection; that connection."""
         # On a pooled connection that turns out to be dead a non-idempotent job would be lost.
         must_connect = attempt.job.is_non_idempotent and self._pool.is_reuse_risky
@@ -172,7 +218,8 @@
             try:
                 # All may have changed during the connect. Nothing suspends from here to the first byte.
                 recheck_send_precondition(attempt, self._directory, endpoint)
-                await self._write_request(attempt, connection)
+                await self._write_request(attempt, endpoint, connection)
+                in_flight.is_written = True
             except RequestNotSentError:
                 connection.close()
                 if must_connect or not connection.is_reused:
@@ -185,7 +232,10 @@
                 raise
             return connection
 
-    async def _write_request(self, attempt: Attempt, connection: PooledConnection) -> None:
+    async def _write_request(
+        self, attempt: Attempt, endpoint: ListedEndpoint, connection: PooledConnection
+    ) -> None:
+        self._verify_send(attempt, endpoint)
         payload: RequestPayload = attempt.job.payload
         timeout_ms = max(1, int(attempt.deadline - self._clock()))
         headers = [("Request-Id", attempt.job.id), ("Request-Timeout-Ms", str(timeout_ms))]
@@ -193,6 +243,16 @@
             headers.append(("Idempotency-Key", payload.idempotency_key))
         await connection.write(payload.method, payload.path, headers, payload.body)
 
+    def _verify_send(self, attempt: Attempt, endpoint: ListedEndpoint) -> None:
+        """Count a violation if the request is written although the precondition does not hold now."""
+        violated: Invariant | None = None
+        if attempt.job.is_closed:
+            violated = Invariant.START
+        elif self._directory.find_live(attempt.endpoint) != endpoint:
+            violated = Invariant.SEND
+        if violated is not None:
+            self._engine.invariants.record_violation(violated, id=attempt.job.id, target=attempt.endpoint)
+
     # --- cancellation -----------------------------------------------------------------------------
 
     async def _send_cancel(self, attempt: Attempt) -> None:
--- a/burlmoor/upstream/pool.py
+++ b/burlmoor/upstream/pool.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from burlmoor.invariants import Invariant, InvariantMonitor
 from burlmoor.transport.sockets import DESCRIPTORS_EXHAUSTED, connect
 from burlmoor.transport.stream import SocketStream
 from burlmoor.upstream.connection import PooledConnection
@@ -32,12 +33,14 @@
         max_connections: int,
         response_limit_bytes: int = _RESPONSE_LIMIT_BYTES,
         reuse_delay_seconds: float = 0.0,
+        invariants: InvariantMonitor | None = None,
     ) -> None:
         self.idle_limit_seconds = idle_limit_seconds
         self._connect_timeout_seconds = connect_timeout_seconds
         self.max_connections = max_connections
         self._response_limit_bytes = response_limit_bytes
         self._reuse_delay_seconds = reuse_delay_seconds
+        self._invariants = invariants
         self._idle: dict[str, list[PooledConnection]] = {}
         self._shortened_limit_seconds = idle_limit_seconds
         self._shortened_until = 0.0
@@ -138,6 +141,11 @@
         """Take note that one connection less is open."""
         self.open_count -= 1
 
+    def on_request_not_withdrawn(self, address: str) -> None:
+        """Take note that a connection was closed whose unanswered request may still be delivered."""
+        if self._invariants is not None:
+            self._invariants.record_violation(Invariant.CLOSE, address=address)
+
     # --- closing ----------------------------------------------------------------------------------
 
     def close_oldest_idle(self) -> bool:
--- /dev/null
+++ b/tests/engine/test_attempt_guard.py
@@ -0,0 +1,35 @@
+"""The guard of attempts: what may not be started, and which refusals count as violations."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import pytest
+
+from burlmoor.engine.attempt_guard import AttemptGuard
+from burlmoor.engine.job import Attempt, Job
+from burlmoor.invariants import InvariantMonitor
+from burlmoor.types.outcome import Outcome
+
+
+@pytest.mark.parametrize("is_non_idempotent", [False, True])
+@pytest.mark.parametrize("outcome", [None, *Outcome])
+def test_only_a_non_idempotent_job_that_may_have_run_is_not_repeated(
+    is_non_idempotent: bool, outcome: Outcome | None
+) -> None:
+    lines: list[dict[str, Any]] = []
+    invariants = InvariantMonitor(lambda event, **fields: lines.append({"event": event, **fields}))
+    job = Job("a1", 1, cast(Any, None), None, 0.0, 1000.0, is_non_idempotent)
+    job.attempts.append(Attempt(job, 0, "e0", 0.0, 1000.0, outcome))
+    guard = AttemptGuard(5, invariants)
+    is_repeat = is_non_idempotent and job.may_have_run()
+    assert guard.may_start(job, Attempt(job, 1, "e1", 10.0, 1000.0), 10.0) is not is_repeat
+    assert invariants.counts() == ({"repeat": 1} if is_repeat else {})
+    assert [line["event"] for line in lines] == ["invariant-violated"] * is_repeat
+    # The same endpoint, a late start, one attempt too many and a closed job are refused, and no defect.
+    assert not guard.may_start(job, Attempt(job, 1, "e0", 10.0, 1000.0), 10.0)
+    assert not guard.may_start(job, Attempt(job, 1, "e1", 1000.0, 1000.0), 1000.0)
+    assert not guard.may_start(job, Attempt(job, 5, "e1", 10.0, 1000.0), 10.0)
+    job.is_closed = True
+    assert not guard.may_start(job, Attempt(job, 1, "e1", 10.0, 1000.0), 10.0)
+    assert len(lines) == is_repeat
--- a/tests/integration/test_partitions.py
+++ b/tests/integration/test_partitions.py
@@ -40,9 +40,12 @@
 
 @pytest.mark.parametrize("job_class", [SEARCH, CONFIRM], ids=lambda each: each.name)
 @pytest.mark.parametrize("health", ["left", "leaving"])
+@pytest.mark.parametrize(("cut_seconds", "drained_seconds"), [(1.2, 1.5), (0.2, 0.45)])
 def test_what_a_partition_held_back_does_not_reach_an_executor_that_drains_by_then(
-    tmp_path: Path, job_class: JobClass, health: str
+    tmp_path: Path, job_class: JobClass, health: str, cut_seconds: float, drained_seconds: float
 ) -> None:
+    """The attempts were given up before the drain, or still wait for their 202 when it is announced."""
+
     async def partition(cluster: LocalCluster) -> None:
         # Some connections to each executor lie idle then; only those take requests while a link is cut.
         await send_jobs(cluster, SEARCH, "aa", 60)
@@ -52,13 +55,13 @@
             link.cut()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send_jobs, cluster, job_class, "bb", 60)
-            await trio.sleep(1.2)
+            await trio.sleep(cut_seconds)
             held = sum(link.held_connections for link in links)
             assert held > 0, "the partition held nothing back: the test proves nothing"
             for name in CUT_OFF:
                 cluster.discovery.set_entry(name, health=health)
             told_ms = now_ms()
-            await trio.sleep(1.5)
+            await trio.sleep(drained_seconds)
             for link in links:
                 link.heal()
         await trio.sleep(0.5)
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -26,6 +26,7 @@
     ("endpoints",),
     ("stats",),
     ("membership", "transport", "types"),
+    ("invariants",),
     ("clock", "log"),
     ("errors",),
 )
