--- a/burlmoor/cli/drill.py
+++ b/burlmoor/cli/drill.py
@@ -12,10 +12,11 @@
 from burlmoor.cli.output import exit_with_verdict
 from burlmoor.testbed.drill import Drill, DrillParameters
 from burlmoor.testbed.drill_deferred import WAITING
+from burlmoor.testbed.drill_soak import SOAK
 from burlmoor.testbed.drill_spread import SPREAD
 from burlmoor.testbed.drill_watch import WATCH
 
-DRILLS: dict[str, Drill] = {"waiting": WAITING, "spread": SPREAD, "watch": WATCH}
+DRILLS: dict[str, Drill] = {"waiting": WAITING, "spread": SPREAD, "watch": WATCH, "soak": SOAK}
 
 
 @click.command()
--- a/burlmoor/testbed/executor.py
+++ b/burlmoor/testbed/executor.py
@@ -77,7 +77,11 @@
         """
 
         async def serve(stream: HttpStream) -> None:
-            node, callback_address = identify_node(stream.socket_stream.socket.getpeername()[0])
+            try:
+                source = stream.socket_stream.socket.getpeername()[0]
+            except OSError:
+                return  # reset before it was looked at
+            node, callback_address = identify_node(source)
             self._callbacks.set_address(node, callback_address)
             await self._serve(node, stream)
 
--- a/burlmoor/testbed/fleet/audit.py
+++ b/burlmoor/testbed/fleet/audit.py
@@ -26,6 +26,7 @@
 RESUME_ALLOWANCE_MS = 1000.0  # that a stopped node may take to read its input once it continues
 LINK_RECOVERY_SECONDS = 1.0  # that bytes may still be held back after a link fault has ended
 _JUST_BEFORE_SECONDS = 1e-3  # within the fault, whose interval is half-open
+_WITHDRAWABLE = ("cut", "stall")  # link faults that deliver nothing of what its sender has withdrawn
 WORK_DEVIATION_FACTOR = 1.15  # how far the random sizes of jobs may take the work over a budget
 
 
@@ -155,7 +156,10 @@
 
 
 def _check_drains(record: RunRecord, result: Audit) -> None:
-    """Check that no job reaches an executor that drains after the deadline, however its node was notified."""
+    """Check that no job reaches an executor that drains after the deadline, however its node was notified.
+
+    A link that was cut or stalled is no excuse: what it has held back has to be withdrawn.
+    """
     notifications: dict[tuple[int, str], list[Notification]] = defaultdict(list)
     for notification in record.notifications:
         notifications[int(notification.node[1:]), notification.endpoint].append(notification)
@@ -182,7 +186,7 @@
 
 
 def _is_link_faulty(record: RunRecord, node: int, executor: str, at_ms: float) -> bool:
-    """Whether the schedule holds bytes back on this link, or did so until a moment before."""
+    """Whether the schedule slows the bytes on this link down, or did so until a moment before."""
     schedule = record.plan.schedule
     at_seconds = (at_ms - record.start_ms) / 1000.0
     just_ended = [fault for fault in schedule.faults if 0.0 <= at_seconds - fault.end < LINK_RECOVERY_SECONDS]
@@ -191,7 +195,7 @@
     executors = record.executor_population()
     number = record.executor_names().index(executor)
     return any(
-        link_fault.affects(node, number, forward=True)
+        link_fault.kind not in _WITHDRAWABLE and link_fault.affects(node, number, forward=True)
         for moment in moments
         for link_fault in active_executor_link_faults(schedule, moment, nodes, executors)
     )
--- a/burlmoor/testbed/fleet/fault_injection.py
+++ b/burlmoor/testbed/fleet/fault_injection.py
@@ -73,14 +73,16 @@
                 nursery.start_soon(inject_one, staggered, number)
 
     def _select_injection(self, kind: str) -> _InjectOne:
-        if kind == "stop":
-            return self._stop_node
+        special: dict[str, _InjectOne] = {
+            "stop": self._stop_node,
+            "die": self._kill_executor,
+            "drain": self._drain_executor,
+            "vanish": self._announce_vanished_executor,
+        }
+        if kind in special:
+            return special[kind]
         if kind in NODE_FAULTS:
             return self._end_node
-        if kind == "die":
-            return self._kill_executor
-        if kind == "drain":
-            return self._drain_executor
         if kind in EXECUTOR_FAULTS:
             return self._degrade_executor
         assert kind in DISCOVERY_FAULTS
@@ -138,6 +140,19 @@
         self._restart_executor(name)
         interval.end = now_ms()
 
+    async def _announce_vanished_executor(self, fault: Fault, number: int) -> None:
+        """Let discovery announce an executor that is cut off, and that it is back; its process goes on."""
+        await sleep_until(self._record, fault.start)
+        name = self._record.executor_names()[number]
+        interval = self._begin_interval(fault, name)
+        with trio.move_on_after(fault.duration):
+            await trio.sleep(fault.notification_delay)
+            self._discovery.set_entry(name, health="left")
+        await sleep_until(self._record, fault.end)
+        interval.end = now_ms()
+        await trio.sleep(fault.notification_delay)
+        self._discovery.set_entry(name, health="active")
+
     def _restart_executor(self, name: str) -> None:
         self._helpers.command_executor(name, "restart")
         self._discovery.set_entry(name, health="active", born_ms=time.time() * 1000.0)
@@ -177,7 +192,7 @@
         schedule = self._record.plan.schedule
         nodes = self._record.node_population()
         executors = self._record.executor_population()
-        faults = [fault for fault in schedule.faults if fault.kind in LINK_FAULTS]
+        faults = [fault for fault in schedule.faults if fault.kind in (*LINK_FAULTS, "vanish")]
         for at_seconds in sorted({at for fault in faults for at in (fault.start, fault.end)}):
             await sleep_until(self._record, at_seconds)
             self._helpers.apply_link_faults(
--- a/burlmoor/testbed/fleet/faults.py
+++ b/burlmoor/testbed/fleet/faults.py
@@ -16,7 +16,8 @@
 # On links. `repeat` and `reorder` are for datagrams alone, `reset` and `throttle` for connections.
 LINK_FAULTS = ("cut", "delay", "drop", "reset", "stall", "throttle", "corrupt", "repeat", "reorder")
 NODE_FAULTS = ("kill", "stop", "term")
-EXECUTOR_FAULTS = ("die", "drain", "still", "slow", "fail")
+# `vanish` cuts an executor's machine off: it stays up, discovery announces it as gone, and later as back.
+EXECUTOR_FAULTS = ("die", "drain", "still", "slow", "fail", "vanish")
 DISCOVERY_FAULTS = ("late", "down", "silent", "broken")
 FAULT_KINDS = (*LINK_FAULTS, *NODE_FAULTS, *EXECUTOR_FAULTS, *DISCOVERY_FAULTS)
 Direction = Literal["both", "forward", "back"]
@@ -40,7 +41,7 @@
     peers: str = ""
     direction: Direction = "both"
     magnitude: float = msgspec.field(default=0.0, name="size")
-    # Seconds until discovery announces that an executor has died.
+    # Seconds until discovery announces that an executor has died, vanished or come back.
     notification_delay: float = msgspec.field(default=1.0, name="told")
     # The nodes or executors fail one after another within so many seconds, rather than all at once.
     stagger: float = msgspec.field(default=0.0, name="over")
--- a/burlmoor/testbed/fleet/helper_processes.py
+++ b/burlmoor/testbed/fleet/helper_processes.py
@@ -166,7 +166,12 @@
                 raise self._error("clients", f"did not finish ({process.exit_status})")
 
     async def finish_executors(self) -> None:
-        """Finish the executors, and wait until they have written their attempts; raises ProcessError."""
+        """Finish the executors, and wait until they have written their attempts; raises ProcessError.
+
+        Also raised where a relay has ended by itself: from then on the run has tested nothing.
+        """
+        if not all(process.is_running for process in (*self._relays, *self._switches)):
+            raise self._error("tcp_relay", "ended before the run was over")
         for process in self._executors:
             process.send_line(ExecutorCommand("finish"))
         for process in self._executors:
--- a/burlmoor/testbed/fleet/link_faults.py
+++ b/burlmoor/testbed/fleet/link_faults.py
@@ -34,7 +34,13 @@
 ) -> list[LinkFault]:
     """Return the faults of links between nodes and executors at a moment."""
     active = [fault for fault in _active_faults(schedule, at_seconds) if not fault.peers]
-    return [_resolve(fault, schedule.seed, nodes, executors, fault.executors) for fault in active]
+    link_faults = [_resolve(fault, schedule.seed, nodes, executors, fault.executors) for fault in active]
+    every_node = frozenset(range(len(nodes.names)))
+    for fault in schedule.faults:
+        if fault.kind == "vanish" and fault.start <= at_seconds < fault.end:
+            vanished = frozenset(resolve_selector(executors, fault.executors, schedule.seed))
+            link_faults.append(LinkFault("cut", every_node, vanished))
+    return link_faults
 
 
 def active_node_link_faults(schedule: FaultSchedule, at_seconds: float, nodes: Population) -> list[LinkFault]:
--- a/burlmoor/testbed/fleet/random_schedule.py
+++ b/burlmoor/testbed/fleet/random_schedule.py
@@ -4,12 +4,16 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
-from burlmoor.testbed.fleet.faults import Fault, FaultSchedule
+from burlmoor.testbed.fleet.faults import Direction, Fault, FaultSchedule
 
 _MakeFault = Callable[[float, float], Fault]
+_DIRECTIONS: tuple[Direction, ...] = ("both", "forward", "back")
+_RECOVERY_SECONDS = 4.0
+_MIN_FAULTS = 8
 
 
 def draw_schedule(seed: int, seconds: float, count: int) -> FaultSchedule:
@@ -37,5 +41,43 @@
     return FaultSchedule(seed, tuple(_round_times(fault) for fault in drawn))
 
 
+def draw_overlapping_schedule(seed: int, seconds: float) -> FaultSchedule:
+    """Return many faults that overlap in time, drawn from a seed, with some time to recover at the end."""
+    rng = random.Random(seed)
+    end = max(2.0, seconds - _RECOVERY_SECONDS)
+
+    def draw(kind: str, longest: float, **parameters: Any) -> Fault:
+        start = rng.uniform(0.5, 0.9 * end)
+        return _round_times(
+            Fault(kind=kind, start=start, duration=min(rng.uniform(0.3, longest), end - start), **parameters)
+        )
+
+    def share(*percentages: int) -> str:
+        return f"{rng.choice(percentages)}%"
+
+    def announced(kind: str) -> Fault:
+        delay = round(rng.uniform(0.1, 2.5), 2)
+        return draw(kind, 6.0, executors=share(10, 20, 30), notification_delay=delay)
+
+    faults = [
+        announced("vanish"),
+        announced("vanish"),
+        announced("die"),
+        draw("drain", 6.0, executors=share(10, 20), stagger=round(rng.uniform(0.0, 2.0), 2)),
+        draw("still", 4.0, executors=share(10, 20)),
+        draw("cut", 4.0, nodes=share(30, 50), executors=share(20, 40), direction=rng.choice(_DIRECTIONS)),
+        draw("reset", 4.0, nodes="*", executors=share(20, 40), magnitude=0.05),
+        draw("delay", 4.0, nodes=share(30, 50), executors="*", magnitude=40.0),
+        draw("silent", 0.5, nodes=share(30, 60)),
+        draw("broken", 0.5, nodes=share(30, 60)),
+        draw("late", 3.0, nodes=share(30, 50), magnitude=2000.0),
+        draw("down", 3.0, nodes="n000"),
+        draw("kill", 1.5, nodes=share(10, 20)),
+        draw("term", 1.5, nodes=share(10, 20)),
+        draw("stop", 1.0, nodes=share(10, 20)),
+    ]
+    return FaultSchedule(seed, tuple(rng.sample(faults, rng.randint(_MIN_FAULTS, len(faults)))))
+
+
 def _round_times(fault: Fault) -> Fault:
     return msgspec.structs.replace(fault, start=round(fault.start, 2), duration=round(fault.duration, 2))
--- a/burlmoor/testbed/fleet/tcp_relay.py
+++ b/burlmoor/testbed/fleet/tcp_relay.py
@@ -3,8 +3,8 @@
 They run in processes of their own, `python -m burlmoor.testbed.fleet.tcp_relay`, several of which share the
 ports. The configuration is the first line of a process's input, each further line the list of link faults
 from then on; the process ends with its input. What a relay cannot do is refuse a connection on a link that is
-cut: the connection is accepted, and then nothing comes, as with a peer whose machine vanished after the
-handshake.
+cut: the connection is accepted, then nothing comes, and it is reset once the link heals. What was written to
+a connection that was up before is delivered then, unless its sender has reset the connection meanwhile.
 """
 
 from __future__ import annotations
@@ -102,7 +102,8 @@
         try:
             link = parse_link_address(near.socket.getsockname()[0])
             direction = _Direction(link.node, link.peer, forward)
-            await self._wait_until_open(direction)
+            if await self._wait_until_open(direction):
+                raise LinkResetError
             far = await self._connect(direction)
             async with trio.open_nursery() as nursery:
                 cancel_scope = nursery.cancel_scope
@@ -127,9 +128,13 @@
         # From the link's own address, so that the executor knows which node connects.
         return (await connect(address, link_address(node, executor))).socket_stream
 
-    async def _wait_until_open(self, direction: _Direction) -> None:
+    async def _wait_until_open(self, direction: _Direction) -> bool:
+        """Wait until the link passes bytes in this direction; whether that took any time."""
+        has_waited = False
         while any(fault.kind in ("cut", "stall") and fault.affects(*direction) for fault in self._faults):
+            has_waited = True
             await self._faults_changed.wait()
+        return has_waited
 
     async def _copy(
         self,
@@ -143,12 +148,16 @@
         while True:
             try:
                 data = await source.receive_some(_CHUNK_BYTES)
+                if self._faults:
+                    data = await self._apply_to_chunk(data, direction)
+                    if source.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                        raise LinkResetError  # by its sender, whose kernel has discarded the data
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # Handled here: out of the nursery it would come in a group, and end the relay's process.
                 HttpStream(sink).reset()
+                HttpStream(source).reset()
                 both_directions.cancel()
                 return
-            if self._faults:
-                data = await self._apply_to_chunk(data, direction)
             if not data:
                 with suppress(trio.BrokenResourceError, trio.ClosedResourceError, OSError):
                     await sink.send_eof()
--- a/burlmoor/testbed/mutations.py
+++ b/burlmoor/testbed/mutations.py
@@ -162,6 +162,13 @@
     EndpointDirectory.find_live = lambda self, name: self._table.get(name)  # type: ignore[method-assign]
 
 
+def _keep_sent() -> None:
+    """An attempt that is given up stays with the kernel, which goes on delivering it."""
+    from burlmoor.transport.stream import SocketStream  # noqa: PLC0415
+
+    SocketStream.set_reset_on_close = lambda self, is_on: True  # type: ignore[method-assign]
+
+
 Sabotages = dict[str, Callable[[], None]]
 
 OF_WAITING: Sabotages = {
@@ -178,7 +185,8 @@
     "no-ageing": _no_ageing,
 }
 OF_WATCH: Sabotages = {"late-watch": _late_watch, "slow-again": _slow_again, "undrained": _undrained}
-SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD | OF_WATCH
+OF_SOAK: Sabotages = {"keep-sent": _keep_sent, "undrained": _undrained}
+SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD | OF_WATCH | OF_SOAK
 
 
 def told(sabotages: Sabotages) -> dict[str, str]:
