Add failing tests: a node sends on a list that it can no longer stand for

A real node process that is cut off from all for 9 s while two of three executors leave sends 34 attempts to them in the first second after the heal; a process that is started with an old list in a fleet of 200 does so until its first call to discovery.

--- a/burlmoor/testbed/local_cluster.py
+++ b/burlmoor/testbed/local_cluster.py
@@ -79,6 +79,7 @@
         self._links: dict[tuple[str, str], NetworkLink] = {}  # by node and executor
         self.settings = platform_settings(nodes=nodes)
         self._discovery_addresses: dict[str, str] = {}  # by node
+        self._discovery_links: dict[str, NetworkLink] = {}  # by node
 
     async def start(self) -> None:
         """Open every stand-in, then start the nodes and wait until all are ready."""
@@ -90,6 +91,9 @@
                     link = self._links[node.name, name] = NetworkLink(addresses[name], self.nursery)
                     addresses[name] = await link.open()
             discovery_address = await self.discovery.listen_for_node(node.name, addresses)
+            if self._has_links:
+                link = self._discovery_links[node.name] = NetworkLink(discovery_address, self.nursery)
+                discovery_address = await link.open()
             self._discovery_addresses[node.name] = discovery_address
         for name in self.executors:
             self.discovery.set_entry(name)
@@ -98,9 +102,10 @@
                 starting.start_soon(self.start_node, node)
         self.clients = [ClientPool(node.address, self.event_record) for node in self.nodes]
 
-    async def start_node(self, node: NodeProcess) -> None:
-        """Start one node's process, for the first time or again."""
-        known_list = self.discovery.full_list(node.name)
+    async def start_node(self, node: NodeProcess, known_list: dict[str, Any] | None = None) -> None:
+        """Start one node's process, for the first time or again; by default with the list as it is now."""
+        if known_list is None:
+            known_list = self.discovery.full_list(node.name)
         discovery_address = self._discovery_addresses[node.name]
         await node.start(self.nursery, self.settings, discovery_address, known_list)
 
@@ -110,6 +115,11 @@
         """Return the links from all nodes to one executor."""
         return [link for (_, name), link in self._links.items() if name == executor]
 
+    def links_of(self, node: str) -> list[NetworkLink]:
+        """Return the links from one node to all executors and to discovery."""
+        links = [link for (name, _), link in self._links.items() if name == node]
+        return [*links, self._discovery_links[node]]
+
     # --- failures that discovery announces --------------------------------------------------------
 
     async def kill_executor(self, name: str, announced_after: float, restarted_after: float) -> None:
--- a/tests/integration/test_partitions.py
+++ b/tests/integration/test_partitions.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
@@ -18,12 +19,14 @@
 GRACE_ALLOWANCE_MS = 150.0  # on a loaded machine
 
 
-def run_with_links(folder: Path, scenario: Callable[[LocalCluster], Awaitable[None]]) -> None:
+def run_with_links(
+    folder: Path, scenario: Callable[[LocalCluster], Awaitable[None]], **settings: Any
+) -> None:
     """Run a scenario on a real node process with three executors behind links."""
 
     async def run() -> None:
         with trio.fail_after(60.0):
-            async with local_cluster(folder, executor_specs(3), has_links=True) as cluster:
+            async with local_cluster(folder, executor_specs(3), has_links=True, **settings) as cluster:
                 await scenario(cluster)
 
     trio.run(run)
@@ -74,3 +77,51 @@
         assert not late, f"{len(late)} of {held} attempts arrived after the node was told of the drain"
 
     run_with_links(tmp_path, partition)
+
+
+def count_late_attempts(cluster: LocalCluster, since_ms: float) -> int:
+    """Count the attempts that reached executors that are gone."""
+    attempts = cluster.event_record.attempts
+    return sum(each.executor in CUT_OFF and each.received_ms > since_ms for each in attempts)
+
+
+def test_a_node_that_was_cut_off_sends_nothing_on_its_old_list_once_the_partition_heals(
+    tmp_path: Path,
+) -> None:
+    """Until discovery answers again, what has been announced for longer than 6 s counts as told."""
+
+    async def isolate(cluster: LocalCluster) -> None:
+        await send_jobs(cluster, SEARCH, "aa", 20)
+        links = cluster.links_of(cluster.nodes[0].name)
+        for link in links:
+            link.cut()
+        await trio.sleep(1.0)
+        for name in CUT_OFF:
+            cluster.discovery.set_entry(name, health="left")
+        await trio.sleep(8.0)
+        healed_ms = now_ms()
+        for link in links:
+            link.heal()
+        await send_jobs(cluster, SEARCH, "bb", 60)
+        assert not count_late_attempts(cluster, healed_ms)
+        served = [each for each in cluster.event_record.requests.values() if each.id.startswith("bb")]
+        assert sum(each.is_served for each in served) > 30, "the node has to serve again at once"
+
+    run_with_links(tmp_path, isolate)
+
+
+def test_a_new_process_sends_nothing_on_a_list_that_was_kept_before_servers_left(tmp_path: Path) -> None:
+    async def restart(cluster: LocalCluster) -> None:
+        node = cluster.nodes[0]
+        old_list = cluster.discovery.full_list(node.name)
+        await node.kill()
+        for name in CUT_OFF:
+            cluster.discovery.set_entry(name, health="left")
+        started_ms = now_ms()
+        await cluster.start_node(node, old_list)
+        await send_jobs(cluster, SEARCH, "bb", 60)
+        assert not count_late_attempts(cluster, started_ms)
+        assert sum(each.is_served for each in cluster.event_record.requests.values()) > 30
+
+    # So many nodes spread their first calls over seconds.
+    run_with_links(tmp_path, restart, Balancers=200)
