Suspend an endpoint list that the node can no longer stand for, until discovery is heard of again

Cause: a node that hears nothing of discovery went on sending on its list without end, also past the moment from which it counts as notified of what it has missed; when a partition healed, its first jobs went to servers that had left, before its next call. Change: discovery/list_trust.py says until when the list may be relied on: 6 s from the first call that met silence. Then the directory is suspended: no endpoint is live, unaccepted attempts are withdrawn, jobs wait. An answer resumes it, and so does a discovery that refuses or resets (it is down, so nothing counts as notified); one such failure right after a silence may be a call that the partition held back, and is repeated at once. Where no connection comes up, the next call is made within 0.25 s.

--- a/burlmoor/discovery/client.py
+++ b/burlmoor/discovery/client.py
@@ -4,11 +4,13 @@
 
 import trio
 
+from burlmoor.discovery.list_trust import ListTrust
 from burlmoor.discovery.schedule import CallResult, DiscoveryCall, WatchSchedule
 from burlmoor.endpoints.directory import EndpointDirectory
 from burlmoor.endpoints.list_validation import InvalidEndpointListError
 from burlmoor.errors import BurlmoorError
 from burlmoor.log import EventLogger
+from burlmoor.upstream.errors import is_sign_of_peer
 from burlmoor.upstream.pool import ConnectionPool
 
 _PATH = b"/registry/instances"
@@ -35,12 +37,15 @@
         pool: ConnectionPool,
         address: str,
         schedule: WatchSchedule,
+        trust: ListTrust,
         log: EventLogger,
     ) -> None:
         self._directory = directory
         self._pool = pool
         self._address = address
         self._schedule = schedule
+        self._trust = trust
+        self._trust_changed = trio.Event()
         self._log = log
         self._call_scope = trio.CancelScope()  # of the wait for the next call, and of the call
         self._is_stale_logged = False  # whether it has been logged that the list may be too old
@@ -53,8 +58,15 @@
         self._pool.close_idle_to(self._address)
         self._address = address
         self._schedule.on_address_changed(trio.current_time())
+        self._trust.on_address_changed(trio.current_time())
+        self._trust_changed.set()
         self._call_scope.cancel()
 
+    @property
+    def may_call_at_once(self) -> bool:
+        """Whether the first call is made at once, so that its answer can be waited for."""
+        return self._schedule.may_call_at_once
+
     def watch(self) -> None:
         """Do nothing: the watch runs from the start and never ends, as the policy requests."""
 
@@ -65,6 +77,22 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         self._schedule.on_start(trio.current_time(), self._directory.version is not None)
+        self._trust.on_start(not self._directory.is_suspended)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._suspend_untrusted_list)
+            await self._call_forever()
+
+    async def _suspend_untrusted_list(self) -> None:
+        """Suspend the list whenever it may not be relied on any more; an answer resumes it."""
+        while True:
+            self._trust_changed = trio.Event()
+            with trio.move_on_at(self._trust.expires_at()):
+                await self._trust_changed.wait()
+                continue
+            self._directory.suspend(round(self._schedule.age_seconds(trio.current_time()), 2))
+            await self._trust_changed.wait()
+
+    async def _call_forever(self) -> None:
         while True:
             with trio.CancelScope() as self._call_scope:  # cancelled when the address changes
                 await trio.sleep_until(self._schedule.next_call().start_at)
@@ -76,9 +104,16 @@
         failures_before = self._schedule.failures
         age_before = self._schedule.age_seconds(started_at)
         self._schedule.on_call_started(started_at)
+        self._trust.on_call_started(started_at)
         result, error = await self._apply_response_to(call)
         now = trio.current_time()
-        self._schedule.on_call_ended(result, now)
+        # What a partition may have held back is called again soon.
+        is_doubtful = self._trust.is_doubtful(result, now)
+        self._schedule.on_call_ended(CallResult.UNREACHABLE if is_doubtful else result, now)
+        self._trust.on_call_ended(result, now)
+        self._trust_changed.set()
+        if now < self._trust.expires_at():
+            self._directory.resume()
         if result is CallResult.ANSWERED:
             self._on_answer(failures_before, age_before)
         else:
@@ -96,7 +131,8 @@
             return CallResult.INVALID, str(error)
         except Exception as error:  # noqa: BLE001
             # The boundary of the watch's task: without this, one failed call would end the node.
-            return CallResult.FAILED, repr(error)
+            is_alive = is_sign_of_peer(error)
+            return (CallResult.FAILED if is_alive else CallResult.UNREACHABLE), repr(error)
         return CallResult.ANSWERED, ""
 
     async def _request(self, call: DiscoveryCall) -> bytes:
--- a/burlmoor/discovery/schedule.py
+++ b/burlmoor/discovery/schedule.py
@@ -6,15 +6,15 @@
 How the constants follow from the protocol (docs/watch-design.md). Each change of the list has a notification
 deadline, from which on the node counts as notified of it, whether or not the change has arrived:
 
-- a watch that falls silent: `_NOTIFICATION_SECONDS` after it fell silent, for all that it misses;
-- a call that failed, was rejected or timed out: `_NOTIFICATION_SECONDS` after discovery had the change and
+- a watch that falls silent: `NOTIFICATION_SECONDS` after it fell silent, for all that it misses;
+- a call that failed, was rejected or timed out: `NOTIFICATION_SECONDS` after discovery had the change and
   could be reached.
 
 A node sees neither moment. Both may lie as early as the start of the call, so the deadline is counted from
 there, and the next call's answer has to arrive by then. A new call may stand in discovery's queue for
 `_QUEUE_TIMEOUT_SECONDS` before it is answered or fails. So, however a call ends,
 
-    from its start to the start of the next: at most _NOTIFICATION_SECONDS - _QUEUE_TIMEOUT_SECONDS = 4.0
+    from its start to the start of the next: at most NOTIFICATION_SECONDS - _QUEUE_TIMEOUT_SECONDS = 4.0
 
 What a call itself takes of these 4.0 is not available for jitter, which spreads a fleet's next calls:
 
@@ -24,7 +24,7 @@
 A silent watch looks like one without changes: an answer that is overdue is the only sign. A call that
 continues from an answer stands in no queue and costs discovery nothing, so the wait may be short. A node that
 has just started is held to its old list for as long as the settings give for polling, which may be less than
-`_NOTIFICATION_SECONDS`, and to `_FAILED_CALL_FACTOR` times that after a failed call.
+`NOTIFICATION_SECONDS`, and to `_FAILED_CALL_FACTOR` times that after a failed call.
 
 Where lists are pushed, the address is that of an agent on this machine, which answers at once and at no cost.
 The node counts as notified of what the agent has, watch or no watch, so there is no jitter and no growing
@@ -39,11 +39,14 @@
 import random
 from typing import NamedTuple
 
-_NOTIFICATION_SECONDS = 6.0
+NOTIFICATION_SECONDS = 6.0
 _WATCH_WAIT_SECONDS = 1.0
 _OVERDUE_ALLOWANCE_SECONDS = 0.5  # after a watch's wait, until its answer is overdue
 _QUEUE_TIMEOUT_SECONDS = 2.0  # how long a new call stands in discovery's queue at most before it fails there
 _CALL_COST_SECONDS = 0.2  # what discovery is assumed to need for one new call
+# Before a new call where no connection came up: discovery has not seen the last one, and a node that was cut
+# off has to hear from it soon after the partition heals.
+_MIN_RECONNECT_SECONDS, _MAX_RECONNECT_SECONDS = 0.05, 0.25
 _MIN_BACKOFF_SECONDS = 0.1  # before the first call after a failure, where a fleet's calls fit at once
 _MAX_BACKOFF_SECONDS = 2.0
 _MAX_BACKOFF_DOUBLINGS = 16
@@ -59,6 +62,7 @@
 
     ANSWERED = enum.auto()  # with a list
     TIMED_OUT = enum.auto()  # nothing came in time
+    UNREACHABLE = enum.auto()  # no connection came up, or it broke without a sign of discovery
     FAILED = enum.auto()  # refused, reset, answered with another status than 200
     INVALID = enum.auto()  # answered with something that is no list
 
@@ -85,12 +89,12 @@
         self._has_agent = has_agent
         self._rng = rng
         # How long after a call's start the deadline is for an old list at start, and for a failed call.
-        self._start_allowance = min(_NOTIFICATION_SECONDS, poll_interval_seconds)
-        self._failure_allowance = min(_NOTIFICATION_SECONDS, _FAILED_CALL_FACTOR * poll_interval_seconds)
+        self._start_allowance = min(NOTIFICATION_SECONDS, poll_interval_seconds)
+        self._failure_allowance = min(NOTIFICATION_SECONDS, _FAILED_CALL_FACTOR * poll_interval_seconds)
         # Without jitter, the simultaneous calls of a large fleet fill discovery's queue (a thundering herd):
         # every call there waits until it fails, and prompt retries keep it full. Where a fleet's calls fit
         # into the queue timeout there is none.
-        fleet_seconds = min(_NOTIFICATION_SECONDS, _CALL_COST_SECONDS * node_count)
+        fleet_seconds = min(NOTIFICATION_SECONDS, _CALL_COST_SECONDS * node_count)
         self.max_jitter_seconds = 0.0 if has_agent else max(0.0, fleet_seconds - _QUEUE_TIMEOUT_SECONDS)
         self.failures = 0  # calls in a row that did not bring a list
         self._is_full_list_wanted = False  # with the next call
@@ -104,9 +108,16 @@
         self._last_start = 0.0
         self._last_answer = 0.0
 
+    @property
+    def may_call_at_once(self) -> bool:
+        """Whether a fleet's new calls need no jitter, so that a process has its first answer soon."""
+        return self.max_jitter_seconds <= 0.0
+
     def on_start(self, now: float, has_list: bool) -> None:
         """Schedule the first call; a node without an old list asks for the full one at once."""
         self._is_full_list_wanted = not has_list
+        # Where the call is made at once, nothing is sent on an old list before its answer.
+        self._is_recovering = has_list and self.may_call_at_once
         self._last_answer = now
         jitter = max(0.0, min(self.max_jitter_seconds, self._start_allowance - _QUEUE_TIMEOUT_SECONDS))
         self._next_start = now + (self._rng.uniform(0.0, jitter) if has_list else 0.0)
@@ -139,10 +150,12 @@
         self.failures += 1
         self._is_recovering = True
         is_timeout = result is CallResult.TIMED_OUT
-        allowance = _NOTIFICATION_SECONDS if is_timeout else self._failure_allowance
+        allowance = NOTIFICATION_SECONDS if is_timeout else self._failure_allowance
         self._notification_deadline = min(self._notification_deadline, self._last_start + allowance)
         if self._has_agent:
             self._next_start = now + (0.0 if is_timeout else _AGENT_RETRY_SECONDS)
+        elif result is CallResult.UNREACHABLE:
+            self._next_start = now + self._rng.uniform(_MIN_RECONNECT_SECONDS, _MAX_RECONNECT_SECONDS)
         else:
             self._next_start = now + self._retry_delay(is_timeout, allowance, now)
 
--- a/burlmoor/endpoints/directory.py
+++ b/burlmoor/endpoints/directory.py
@@ -36,6 +36,8 @@
         self._table = EndpointTable()
         self.overrides = EndpointOverrides()
         self._liveness_observer: LivenessObserver | None = None
+        # Whether nothing is sent on the list, since changes may have been made that it does not have.
+        self.is_suspended = False
 
     def observe_liveness(self, observer: LivenessObserver) -> None:
         """Report to this observer which endpoints stop being live."""
@@ -50,7 +52,7 @@
 
     def find_live(self, name: str) -> ListedEndpoint | None:
         """Return the endpoint if it may be sent new work now, else None."""
-        endpoint = self._table.get(name)
+        endpoint = None if self.is_suspended else self._table.get(name)
         if endpoint is None or endpoint.state is not EndpointState.LIVE or self.overrides.is_disabled(name):
             return None
         return endpoint
@@ -107,6 +109,26 @@
         if entries:
             self._observer.on_endpoint_list(ListKind.DELTA, self._policy_entries(entries))
 
+    # --- suspension -------------------------------------------------------------------------------
+
+    def suspend(self, age_seconds: float) -> None:
+        """Send nothing new on the list until it is resumed; it was last confirmed so long ago."""
+        if self.is_suspended:
+            return
+        live_before = self._table.live_names()
+        self.is_suspended = True
+        self._report(list(self._table.entries))
+        self._report_not_live(live_before)
+        self._log("endpoint-list-suspended", age=age_seconds, version=self._table.version)
+
+    def resume(self) -> None:
+        """Send on the list again: it has been confirmed, or discovery is known to be down."""
+        if not self.is_suspended:
+            return
+        self.is_suspended = False
+        self._report(list(self._table.entries))
+        self._log("endpoint-list-resumed", version=self._table.version)
+
     # --- lists ------------------------------------------------------------------------------------
 
     def load_cached(self, cached: DiscoveredList | None) -> None:
@@ -117,6 +139,7 @@
     def restore(self, from_predecessor: DiscoveredList | None) -> None:
         """Take in the list of the process before this one, which is newer than the cached one."""
         if from_predecessor is not None:
+            self.is_suspended = False
             live_before = self._table.live_names()
             entries = self._merge(from_predecessor)
             self._observer.on_endpoint_list(ListKind.SNAPSHOT, self._policy_entries(entries))
@@ -180,7 +203,8 @@
         ]
 
     def _effective_state(self, entry: DiscoveredEndpoint) -> EndpointState:
-        return self.overrides.effective_state(entry.name, entry.state)
+        state = self.overrides.effective_state(entry.name, entry.state)
+        return EndpointState.DRAINING if self.is_suspended and state is EndpointState.LIVE else state
 
 
 def _unix_ms() -> float:
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -19,6 +19,7 @@
 from burlmoor.clock import Clock
 from burlmoor.config import node_config
 from burlmoor.discovery.client import DiscoveryClient
+from burlmoor.discovery.list_trust import ListTrust
 from burlmoor.discovery.schedule import WatchSchedule
 from burlmoor.downstream.drain import DrainController, kill_after_seconds
 from burlmoor.downstream.server import DownstreamServer
@@ -114,7 +115,12 @@
             random.Random(self._config.seed + _DISCOVERY_SEED_OFFSET),
         )
         return DiscoveryClient(
-            self.directory, self.discovery_pool, self._config.discovery, schedule, self._log
+            self.directory,
+            self.discovery_pool,
+            self._config.discovery,
+            schedule,
+            ListTrust(has_agent=not policy.must_poll),
+            self._log,
         )
 
     def _build_server(self, max_connections: int) -> DownstreamServer:
@@ -152,6 +158,11 @@
 
     def start(self) -> None:
         """Load what is kept in files, and start all that runs for as long as the node does."""
+        if self._config.settings.policy.must_poll and self.discovery.may_call_at_once:
+            # Nothing is sent on the cached list, whose age is not known, before discovery has been heard of.
+            # An agent has its own wait, in `_begin_service`; the first calls of a large fleet are spread over
+            # seconds, for which its nodes would serve nothing.
+            self.directory.is_suspended = True
         self.directory.load_cached(self._config.cached_endpoints)
         self.admin.load()
         self._apply_options(self._config.options)
--- a/burlmoor/testbed/mutations.py
+++ b/burlmoor/testbed/mutations.py
@@ -149,7 +149,7 @@
     """A call that failed is made anew only some seconds after the notification deadline of what it missed."""
     from burlmoor.discovery import schedule  # noqa: PLC0415
 
-    schedule._NOTIFICATION_SECONDS = 12.0
+    schedule.NOTIFICATION_SECONDS = 12.0
     schedule._CALL_COST_SECONDS = 100.0
     schedule._MIN_JITTER_FRACTION = 0.8
 
--- a/burlmoor/upstream/errors.py
+++ b/burlmoor/upstream/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import trio
+
 from burlmoor.errors import BurlmoorError
 
 
@@ -53,3 +55,20 @@
     def __init__(self, timeout_seconds: float) -> None:
         super().__init__(f"no response came within {timeout_seconds} s")
         self.timeout_seconds = timeout_seconds
+
+
+_SENT_BY_PEER = (ConnectionRefusedError, ConnectionResetError, BrokenPipeError)
+
+
+def is_sign_of_peer(error: BaseException) -> bool:
+    """Return whether an error shows that the peer's machine can be reached.
+
+    It does where the peer has refused, reset or answered something. What the own machine reports of a
+    connection that is silent (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH), or of itself, does not.
+    """
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, (trio.TooSlowError, OSError)):
+            return isinstance(cause, _SENT_BY_PEER)
+        cause = cause.__cause__
+    return not isinstance(error, ConnectError)
--- a/tests/support/node_harness.py
+++ b/tests/support/node_harness.py
@@ -225,6 +225,8 @@
             harness.notify()
 
         await nursery.start(run)
+        # Until its first call to discovery has been answered, the node sends nothing.
+        await harness.wait_until(lambda: not harness.node.directory.is_suspended)
         yield harness
         nursery.cancel_scope.cancel()
 
