Wait for discovery's first answer before accepting clients, in fleets whose first calls are prompt

In place of suspending the cached list at the start, which served nothing while discovery is silent (two tests of test_machine_limits).

--- a/burlmoor/discovery/client.py
+++ b/burlmoor/discovery/client.py
@@ -77,7 +77,6 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         self._schedule.on_start(trio.current_time(), self._directory.version is not None)
-        self._trust.on_start(not self._directory.is_suspended)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._suspend_untrusted_list)
             await self._call_forever()
--- a/burlmoor/discovery/list_trust.py
+++ b/burlmoor/discovery/list_trust.py
@@ -2,8 +2,7 @@
 
 Pure: no socket and no clock; times are in seconds. While no call shows that discovery can be reached, changes
 may have been made that the node has not heard of. From the notification deadline on it counts as notified of
-them, so from then on it must not send on the list that it has. The same holds for the list that a process is
-started with, whose age it does not know.
+them, so from then on it must not send on the list that it has.
 
 What shows that discovery can be reached is an answer of any kind, and also a refused or reset connection:
 while discovery itself is down nothing counts as notified, and the node goes on with its list. Silence shows
@@ -34,10 +33,6 @@
         self._call_started_at = 0.0
         self._has_failed_after_silence = False
 
-    def on_start(self, is_confirmed: bool) -> None:
-        """Begin with a list that this node's last process has just confirmed, or with an old one."""
-        self._silent_since = math.inf if is_confirmed else -math.inf
-
     def on_call_started(self, now: float) -> None:
         """Take note that a call is made now."""
         self._call_started_at = now
@@ -55,7 +50,7 @@
 
     def is_doubtful(self, result: CallResult, now: float) -> bool:
         """Return whether a call that ends so now may have been held back by a partition until it healed."""
-        is_after_silence = math.isfinite(self._silent_since) and now >= self.expires_at()
+        is_after_silence = now >= self.expires_at()
         return result is CallResult.FAILED and is_after_silence and not self._has_failed_after_silence
 
     def on_address_changed(self, now: float) -> None:
--- a/burlmoor/discovery/schedule.py
+++ b/burlmoor/discovery/schedule.py
@@ -116,7 +116,7 @@
     def on_start(self, now: float, has_list: bool) -> None:
         """Schedule the first call; a node without an old list asks for the full one at once."""
         self._is_full_list_wanted = not has_list
-        # Where the call is made at once, nothing is sent on an old list before its answer.
+        # Where the call is made at once, its answer is waited for.
         self._is_recovering = has_list and self.may_call_at_once
         self._last_answer = now
         jitter = max(0.0, min(self.max_jitter_seconds, self._start_allowance - _QUEUE_TIMEOUT_SECONDS))
--- a/burlmoor/endpoints/directory.py
+++ b/burlmoor/endpoints/directory.py
@@ -139,7 +139,6 @@
     def restore(self, from_predecessor: DiscoveredList | None) -> None:
         """Take in the list of the process before this one, which is newer than the cached one."""
         if from_predecessor is not None:
-            self.is_suspended = False
             live_before = self._table.live_names()
             entries = self._merge(from_predecessor)
             self._observer.on_endpoint_list(ListKind.SNAPSHOT, self._policy_entries(entries))
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -40,7 +40,9 @@
 
 _DISCOVERY_CONNECTIONS = 4
 _MAX_LIST_BYTES = 4 << 20  # over 8,000 executors, indented; memory is taken as a list needs it
-_FIRST_LIST_TIMEOUT_SECONDS = 0.2  # that discovery's agent may take for it, before clients are accepted
+# That discovery's agent, or discovery, may take for its first list before clients are accepted without it.
+_FIRST_AGENT_LIST_TIMEOUT_SECONDS = 0.2
+_FIRST_LIST_TIMEOUT_SECONDS = 0.5
 _IDLE_SHARE = 0.4  # of the time after which an executor's machine closes an idle connection
 _IDLE_SWEEP_SECONDS = 1.0
 # Seeds of what draws at random apart from the engine, as offsets from the node's.
@@ -158,11 +160,6 @@
 
     def start(self) -> None:
         """Load what is kept in files, and start all that runs for as long as the node does."""
-        if self._config.settings.policy.must_poll and self.discovery.may_call_at_once:
-            # Nothing is sent on the cached list, whose age is not known, before discovery has been heard of.
-            # An agent has its own wait, in `_begin_service`; the first calls of a large fleet are spread over
-            # seconds, for which its nodes would serve nothing.
-            self.directory.is_suspended = True
         self.directory.load_cached(self._config.cached_endpoints)
         self.admin.load()
         self._apply_options(self._config.options)
@@ -175,13 +172,19 @@
         # The predecessor's endpoint list counts as received here too, and the watch goes on from it.
         await self.handover.contact_predecessor()
         self._nursery.start_soon(self.discovery.run)
-        if not self._config.settings.policy.must_poll:
-            # Without this, the node might send to endpoints that drain: what the agent has counts as received
-            # before this process has sent anything.
-            with trio.move_on_after(_FIRST_LIST_TIMEOUT_SECONDS):
-                await self.discovery.first_response.wait()
+        # Without this, the node might send to endpoints that drain: what an agent has counts as received
+        # before this process has sent anything, and the cached list may be of any age. The first calls of a
+        # large fleet are spread over seconds, for which its nodes would serve nothing: they don't wait.
+        with trio.move_on_after(self._first_list_timeout()):
+            await self.discovery.first_response.wait()
         await self.handover.run()
 
+    def _first_list_timeout(self) -> float:
+        """Return how long the first response of discovery is waited for, in seconds."""
+        if not self._config.settings.policy.must_poll:
+            return _FIRST_AGENT_LIST_TIMEOUT_SECONDS
+        return _FIRST_LIST_TIMEOUT_SECONDS if self.discovery.may_call_at_once else 0.0
+
     def _wake(self) -> None:
         self._wake_event.set()
 
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -86,6 +86,7 @@
 def test_silent_and_incomplete_calls_do_not_delay_others() -> None:
     async def scenario(harness: NodeHarness) -> None:
         assert harness.node.admin_server is not None
+        await harness.wait_ready()
         silent = [
             HttpStream(await trio.open_tcp_stream(*harness.node.admin_server.address)) for _ in range(40)
         ]
@@ -105,6 +106,7 @@
 def test_an_exception_in_a_call_ends_only_that_call(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario(harness: NodeHarness) -> None:
         assert harness.node.admin_server is not None
+        await harness.wait_ready()
         with monkeypatch.context() as patch:
             patch.setattr(harness.node.drain, "begin_drain", lambda: 1 / 0)
             wire = HttpStream(await trio.open_tcp_stream(*harness.node.admin_server.address))
