--- a/burlmoor/endpoints/directory.py
+++ b/burlmoor/endpoints/directory.py
@@ -98,6 +98,10 @@
         self._report(names)
         self._report_not_live(live_before)
 
+    def _live_names(self) -> set[str]:
+        """Return the endpoints that `find_live` finds."""
+        return {name for name in self._table.live_names() if self.find_live(name) is not None}
+
     def _report_not_live(self, live_before: set[str]) -> None:
         """Report those of these endpoints that are not live any more."""
         names = frozenset(name for name in live_before if self.find_live(name) is None)
@@ -115,7 +119,7 @@
         """Send nothing new on the list until it is resumed; it was last confirmed so long ago."""
         if self.is_suspended:
             return
-        live_before = self._table.live_names()
+        live_before = self._live_names()
         self.is_suspended = True
         self._report(list(self._table.entries))
         self._report_not_live(live_before)
@@ -139,7 +143,7 @@
     def restore(self, from_predecessor: DiscoveredList | None) -> None:
         """Take in the list of the process before this one, which is newer than the cached one."""
         if from_predecessor is not None:
-            live_before = self._table.live_names()
+            live_before = self._live_names()
             entries = self._merge(from_predecessor)
             self._observer.on_endpoint_list(ListKind.SNAPSHOT, self._policy_entries(entries))
             self._report_not_live(live_before)
--- a/burlmoor/testbed/discovery.py
+++ b/burlmoor/testbed/discovery.py
@@ -76,6 +76,9 @@
         self._watches: dict[str, dict[HttpStream, _Watch]] = {}  # by node
         self._stalled: set[HttpStream] = set()  # connections on which nothing is answered any more
         self._failed_nodes: set[str] = set()  # whose last call was rejected, reset or canceled
+        self._isolated: dict[
+            str, trio.Event
+        ] = {}  # nodes that are cut off; the event is set when they are back
         self._notified_health: dict[tuple[str, str], str] = {}  # by node and endpoint
 
     @property
@@ -135,6 +138,16 @@
             notified_ms = max(now_ms() + NOTIFIED_AFTER_STALL_MS, watch.ends_ms + NOTIFIED_AFTER_WAIT_MS)
             self._nursery.start_soon(self._notify_stalled_node, node, watch.version, notified_ms)
 
+    def isolate(self, node: str) -> None:
+        """Cut a node off: its watches stall, and what it calls from now on is reset once it is back."""
+        self.stall_watches(node)
+        self._failed_nodes.add(node)
+        self._isolated[node] = trio.Event()
+
+    def reconnect(self, node: str) -> None:
+        """End the isolation of a node."""
+        self._isolated.pop(node).set()
+
     def reset_watches(self, node: str) -> None:
         """Reset the connections of the node's watches."""
         for stream in list(self._watches.get(node, {})):
@@ -183,6 +196,10 @@
 
     async def _serve(self, node: str, stream: HttpStream) -> None:
         while (message := await stream.read()) is not None:
+            if node in self._isolated:
+                await self._isolated[node].wait()
+                stream.reset()
+                return
             url = urlsplit(message.path)
             if self._down:
                 self._failed_nodes.add(node)
--- a/burlmoor/testbed/fleet/fault_injection.py
+++ b/burlmoor/testbed/fleet/fault_injection.py
@@ -182,6 +182,10 @@
             self._discovery.stall_watches(name)
         elif fault.kind == "broken":
             self._discovery.reset_watches(name)
+        elif fault.kind == "isolate":
+            self._discovery.isolate(name)
+            await sleep_until(self._record, fault.end)
+            self._discovery.reconnect(name)
         else:
             self._discovery.is_down = True
             await sleep_until(self._record, fault.end)
@@ -192,7 +196,7 @@
         schedule = self._record.plan.schedule
         nodes = self._record.node_population()
         executors = self._record.executor_population()
-        faults = [fault for fault in schedule.faults if fault.kind in (*LINK_FAULTS, "vanish")]
+        faults = [fault for fault in schedule.faults if fault.kind in (*LINK_FAULTS, "vanish", "isolate")]
         for at_seconds in sorted({at for fault in faults for at in (fault.start, fault.end)}):
             await sleep_until(self._record, at_seconds)
             self._helpers.apply_link_faults(
--- a/burlmoor/testbed/fleet/faults.py
+++ b/burlmoor/testbed/fleet/faults.py
@@ -18,7 +18,8 @@
 NODE_FAULTS = ("kill", "stop", "term")
 # `vanish` cuts an executor's machine off: it stays up, discovery announces it as gone, and later as back.
 EXECUTOR_FAULTS = ("die", "drain", "still", "slow", "fail", "vanish")
-DISCOVERY_FAULTS = ("late", "down", "silent", "broken")
+# `isolate` cuts nodes off from discovery and all executors, while clients still reach them.
+DISCOVERY_FAULTS = ("late", "down", "silent", "broken", "isolate")
 FAULT_KINDS = (*LINK_FAULTS, *NODE_FAULTS, *EXECUTOR_FAULTS, *DISCOVERY_FAULTS)
 Direction = Literal["both", "forward", "back"]
 
--- a/burlmoor/testbed/fleet/link_faults.py
+++ b/burlmoor/testbed/fleet/link_faults.py
@@ -40,6 +40,9 @@
         if fault.kind == "vanish" and fault.start <= at_seconds < fault.end:
             vanished = frozenset(resolve_selector(executors, fault.executors, schedule.seed))
             link_faults.append(LinkFault("cut", every_node, vanished))
+        elif fault.kind == "isolate" and fault.start <= at_seconds < fault.end:
+            isolated = frozenset(resolve_selector(nodes, fault.nodes, schedule.seed))
+            link_faults.append(LinkFault("cut", isolated, None))
     return link_faults
 
 
--- a/burlmoor/testbed/fleet/random_schedule.py
+++ b/burlmoor/testbed/fleet/random_schedule.py
@@ -59,7 +59,12 @@
         delay = round(rng.uniform(0.1, 2.5), 2)
         return draw(kind, 6.0, executors=share(10, 20, 30), notification_delay=delay)
 
+    # Long enough for changes that are announced meanwhile to count as notified.
+    isolation = Fault(
+        kind="isolate", start=0.1 * end, duration=rng.uniform(0.6, 0.8) * end, nodes=share(20, 30)
+    )
     faults = [
+        _round_times(isolation),
         announced("vanish"),
         announced("vanish"),
         announced("die"),
--- a/burlmoor/testbed/mutations.py
+++ b/burlmoor/testbed/mutations.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 import time
 from collections.abc import Callable
@@ -169,6 +170,13 @@
     SocketStream.set_reset_on_close = lambda self, is_on: True  # type: ignore[method-assign]
 
 
+def _old_list() -> None:
+    """A node that hears nothing of discovery goes on sending on its list."""
+    from burlmoor.discovery.list_trust import ListTrust  # noqa: PLC0415
+
+    ListTrust.expires_at = lambda self: math.inf  # type: ignore[method-assign]
+
+
 Sabotages = dict[str, Callable[[], None]]
 
 OF_WAITING: Sabotages = {
@@ -185,7 +193,7 @@
     "no-ageing": _no_ageing,
 }
 OF_WATCH: Sabotages = {"late-watch": _late_watch, "slow-again": _slow_again, "undrained": _undrained}
-OF_SOAK: Sabotages = {"keep-sent": _keep_sent, "undrained": _undrained}
+OF_SOAK: Sabotages = {"keep-sent": _keep_sent, "old-list": _old_list, "undrained": _undrained}
 SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD | OF_WATCH | OF_SOAK
 
 
--- /dev/null
+++ b/tests/endpoints/test_suspension.py
@@ -0,0 +1,54 @@
+"""A suspended endpoint list: nothing is live until it is resumed, and drains are taken in meanwhile."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from burlmoor.endpoints.directory import EndpointDirectory
+from burlmoor.endpoints.discovered_list import DiscoveredEndpoint, DiscoveredList
+from burlmoor.types.endpoint_list import EndpointEntry, EndpointState, ListKind
+
+
+class Observer:
+    """Keeps the last state of each endpoint that the policy was told, and what stopped being live."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, EndpointState] = {}
+        self.not_live: list[frozenset[str]] = []
+
+    def on_endpoint_list(self, kind: ListKind, entries: list[EndpointEntry]) -> None:
+        self.states |= {entry.endpoint: entry.state for entry in entries}
+
+    def on_endpoints_not_live(self, names: frozenset[str]) -> None:
+        self.not_live.append(names)
+
+    def close_idle_to(self, address: str) -> None: ...
+
+
+def test_nothing_is_live_while_the_list_is_suspended() -> None:
+    observer = Observer()
+    events: list[tuple[str, dict[str, Any]]] = []
+    directory = EndpointDirectory(
+        observer, observer, lambda unix_ms: unix_ms, lambda event, **fields: events.append((event, fields))
+    )
+    directory.observe_liveness(observer)
+    entries = [DiscoveredEndpoint(name, "127.0.0.1:9", health="active") for name in ("e0", "e1", "e2")]
+    directory.load_cached(DiscoveredList(1, True, entries))
+    directory.disable("e2")
+    assert observer.not_live == [frozenset({"e2"})]
+    for _ in range(2):  # twice changes nothing
+        directory.suspend(7.5)
+    assert observer.not_live[1:] == [frozenset({"e0", "e1"})]
+    assert set(observer.states.values()) == {EndpointState.DRAINING}
+    assert not any(directory.find_live(name) for name in ("e0", "e1", "e2"))
+    directory.apply_response(b'{"seq":2,"whole":false,"hosts":[{"host":"e0","health":"leaving"}]}')
+    directory.resume()
+    assert directory.find_live("e0") is None
+    assert directory.find_live("e1") is not None
+    assert directory.find_live("e2") is None
+    assert observer.states["e1"] is EndpointState.LIVE
+    assert observer.states["e0"] is EndpointState.DRAINING
+    assert [event for event, _ in events if "suspended" in event or "resumed" in event] == [
+        "endpoint-list-suspended",
+        "endpoint-list-resumed",
+    ]
--- a/tests/testbed/fleet/test_drills.py
+++ b/tests/testbed/fleet/test_drills.py
@@ -47,3 +47,11 @@
     assert all(claim["held"] for claim in claims["sound"].values())
     assert not claims["late-watch"]["rules broken"]["held"]
     assert not claims["slow-again"]["rules broken"]["held"]
+
+
+def test_the_soak_fails_for_nodes_that_go_on_with_an_old_list(tmp_path: Path) -> None:
+    """The violations that the audit finds are those of the incident: late by seconds, after an isolation."""
+    arguments = ["soak", "--nodes", "10", "--seconds", "24", "--seed", "11"]
+    claims = run_drills(tmp_path, arguments, "old-list")
+    assert all(claim["held"] for claim in claims["sound"].values())
+    assert not claims["old-list"]["rules broken"]["held"]
