Suspend the list of a process whose first calls to discovery meet silence

A process that has not heard of discovery since its start suspends the list with the first call that meets silence.

--- a/burlmoor/discovery/list_trust.py
+++ b/burlmoor/discovery/list_trust.py
@@ -2,7 +2,8 @@
 
 Pure: no socket and no clock; times are in seconds. While no call shows that discovery can be reached, changes
 may have been made that the node has not heard of. From the notification deadline on it counts as notified of
-them, so from then on it must not send on the list that it has.
+them, so from then on it must not send on the list that it has. A process whose first calls meet silence must
+not send on the list that it was started with, which may be of any age.
 
 What shows that discovery can be reached is an answer of any kind, and also a refused or reset connection:
 while discovery itself is down nothing counts as notified, and the node goes on with its list. Silence shows
@@ -31,6 +32,7 @@
         self._has_agent = has_agent
         self._silent_since = math.inf
         self._call_started_at = 0.0
+        self._is_confirmed = False  # whether this process has heard of discovery
         self._has_failed_after_silence = False
 
     def on_call_started(self, now: float) -> None:
@@ -40,13 +42,16 @@
     def on_call_ended(self, result: CallResult, now: float) -> None:
         """Take in how the last call ended."""
         if result in _SILENT_RESULTS:
-            self._silent_since = min(self._silent_since, self._call_started_at)
+            # The list that a process is started with may be of any age.
+            since = self._call_started_at if self._is_confirmed else -math.inf
+            self._silent_since = min(self._silent_since, since)
             self._has_failed_after_silence = False
         elif self.is_doubtful(result, now):
             self._has_failed_after_silence = True
         else:
             self._silent_since = math.inf
             self._has_failed_after_silence = False
+            self._is_confirmed = True
 
     def is_doubtful(self, result: CallResult, now: float) -> bool:
         """Return whether a call that ends so now may have been held back by a partition until it healed."""
--- a/burlmoor/testbed/fleet/tcp_relay.py
+++ b/burlmoor/testbed/fleet/tcp_relay.py
@@ -152,7 +152,7 @@
                     data = await self._apply_to_chunk(data, direction)
                     if source.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                         raise LinkResetError  # by its sender, whose kernel has discarded the data
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
                 # Handled here: out of the nursery it would come in a group, and end the relay's process.
                 HttpStream(sink).reset()
                 HttpStream(source).reset()
