Print violations in one place, and name the faults that partition

Kinds of faults that also cut links were repeated strings. One wrapped line and one comment are easier to read.

--- a/burlmoor/endpoints/directory.py
+++ b/burlmoor/endpoints/directory.py
@@ -36,7 +36,7 @@
         self._table = EndpointTable()
         self.overrides = EndpointOverrides()
         self._liveness_observer: LivenessObserver | None = None
-        # Whether nothing is sent on the list, since changes may have been made that it does not have.
+        # Whether no endpoint is live for now, since changes may have been made that the list does not have.
         self.is_suspended = False
 
     def observe_liveness(self, observer: LivenessObserver) -> None:
--- a/burlmoor/testbed/discovery.py
+++ b/burlmoor/testbed/discovery.py
@@ -76,9 +76,8 @@
         self._watches: dict[str, dict[HttpStream, _Watch]] = {}  # by node
         self._stalled: set[HttpStream] = set()  # connections on which nothing is answered any more
         self._failed_nodes: set[str] = set()  # whose last call was rejected, reset or canceled
-        self._isolated: dict[
-            str, trio.Event
-        ] = {}  # nodes that are cut off; the event is set when they are back
+        # Nodes that are cut off; the event is set when they are back.
+        self._isolated: dict[str, trio.Event] = {}
         self._notified_health: dict[tuple[str, str], str] = {}  # by node and endpoint
 
     @property
--- a/burlmoor/testbed/drill.py
+++ b/burlmoor/testbed/drill.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+import sys
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import msgspec
 
+_MAX_PRINTED_VIOLATIONS = 20
+
+
+def print_violations(violations: Sequence[str]) -> None:
+    """Print the first violations of rules, a line each, on standard error."""
+    for violation in violations[:_MAX_PRINTED_VIOLATIONS]:
+        print(f"burlmoor: {violation}", file=sys.stderr)
+
 
 class Claim(msgspec.Struct):
     """A measured value and the bound that it must keep: an upper one unless `is_lower_bound`."""
--- a/burlmoor/testbed/drill_soak.py
+++ b/burlmoor/testbed/drill_soak.py
@@ -13,7 +13,7 @@
 from collections import Counter
 from pathlib import Path
 
-from burlmoor.testbed.drill import Claim, Drill, DrillParameters, Verdict
+from burlmoor.testbed.drill import Claim, Drill, DrillParameters, Verdict, print_violations
 from burlmoor.testbed.fleet.audit import audit
 from burlmoor.testbed.fleet.faults import FaultSchedule
 from burlmoor.testbed.fleet.helper_processes import ProcessCounts
@@ -27,7 +27,6 @@
 _UTILIZATION = 0.4  # of all executors, many of which are at fault at once
 _EXECUTORS_PER_NODE = 0.6
 _MIN_EXECUTORS = 10
-_MAX_PRINTED_VIOLATIONS = 20
 
 
 def count_node_violations(folder: Path) -> Counter[str]:
@@ -54,8 +53,7 @@
 def judge(record: RunRecord, node_violations: Counter[str], parameters: DrillParameters) -> Verdict:
     """Return the verdict on a run, and print violations."""
     audited = audit(record)
-    for violation in audited.violations[:_MAX_PRINTED_VIOLATIONS]:
-        print(f"burlmoor: {violation}", file=sys.stderr)
+    print_violations(audited.violations)
     served = sum(request.is_served for request in record.requests)
     claims = {
         "rules broken": Claim(float(len(audited.violations)), 0.0),
--- a/burlmoor/testbed/drill_spread.py
+++ b/burlmoor/testbed/drill_spread.py
@@ -10,7 +10,7 @@
 import sys
 from pathlib import Path
 
-from burlmoor.testbed.drill import Drill, DrillParameters, Verdict
+from burlmoor.testbed.drill import Drill, DrillParameters, Verdict, print_violations
 from burlmoor.testbed.fleet.faults import Fault, FaultSchedule
 from burlmoor.testbed.fleet.helper_processes import ProcessCounts
 from burlmoor.testbed.fleet.record import RunPlan
@@ -26,7 +26,6 @@
 _MIN_EXECUTORS = 10
 _UTILIZATION = 0.65
 _STARTS_PER_SECOND = 8.0  # nodes that 5 cores start beside those that run
-_MAX_PRINTED_VIOLATIONS = 20
 
 
 def make_schedule(seconds: float, seed: int, nodes: int) -> FaultSchedule:
@@ -65,8 +64,7 @@
     fleet = Fleet(plan, folder, lambda line: print(line, file=sys.stderr))
     record = await fleet.run(ProcessCounts.for_nodes(plan.nodes))
     assessment = assess_run(record)
-    for violation in assessment.audit.violations[:_MAX_PRINTED_VIOLATIONS]:
-        print(f"burlmoor: {violation}", file=sys.stderr)
+    print_violations(assessment.audit.violations)
     figures = {
         **assessment.figures(),
         "start s": record.startup_seconds,
--- a/burlmoor/testbed/drill_watch.py
+++ b/burlmoor/testbed/drill_watch.py
@@ -11,7 +11,7 @@
 import sys
 from pathlib import Path
 
-from burlmoor.testbed.drill import Claim, Drill, DrillParameters, Verdict
+from burlmoor.testbed.drill import Claim, Drill, DrillParameters, Verdict, print_violations
 from burlmoor.testbed.fleet.audit import audit
 from burlmoor.testbed.fleet.faults import Fault, FaultSchedule
 from burlmoor.testbed.fleet.helper_processes import ProcessCounts
@@ -29,7 +29,6 @@
 _MIN_SERVED = 0.9
 _DRAINED_PARTS = 3
 _PARTS = 4
-_MAX_PRINTED_VIOLATIONS = 20
 
 
 def make_schedule(seconds: float, seed: int, draining: tuple[list[str], ...]) -> FaultSchedule:
@@ -58,8 +57,7 @@
 def judge(record: RunRecord, parameters: DrillParameters) -> Verdict:
     """Return the verdict on a run, and print violations."""
     audited = audit(record)
-    for violation in audited.violations[:_MAX_PRINTED_VIOLATIONS]:
-        print(f"burlmoor: {violation}", file=sys.stderr)
+    print_violations(audited.violations)
     lost_ids = set(audited.lost_job_ids)
     requests = [request for request in record.requests if request.id not in lost_ids]
     served = sum(request.is_served for request in requests) / max(1, len(requests))
--- a/burlmoor/testbed/fleet/fault_injection.py
+++ b/burlmoor/testbed/fleet/fault_injection.py
@@ -16,6 +16,7 @@
     EXECUTOR_FAULTS,
     LINK_FAULTS,
     NODE_FAULTS,
+    PARTITION_FAULTS,
     Fault,
     resolve_selector,
 )
@@ -196,7 +197,7 @@
         schedule = self._record.plan.schedule
         nodes = self._record.node_population()
         executors = self._record.executor_population()
-        faults = [fault for fault in schedule.faults if fault.kind in (*LINK_FAULTS, "vanish", "isolate")]
+        faults = [fault for fault in schedule.faults if fault.kind in (*LINK_FAULTS, *PARTITION_FAULTS)]
         for at_seconds in sorted({at for fault in faults for at in (fault.start, fault.end)}):
             await sleep_until(self._record, at_seconds)
             self._helpers.apply_link_faults(
--- a/burlmoor/testbed/fleet/faults.py
+++ b/burlmoor/testbed/fleet/faults.py
@@ -20,6 +20,8 @@
 EXECUTOR_FAULTS = ("die", "drain", "still", "slow", "fail", "vanish")
 # `isolate` cuts nodes off from discovery and all executors, while clients still reach them.
 DISCOVERY_FAULTS = ("late", "down", "silent", "broken", "isolate")
+# Those of them that cut links as well.
+PARTITION_FAULTS = ("vanish", "isolate")
 FAULT_KINDS = (*LINK_FAULTS, *NODE_FAULTS, *EXECUTOR_FAULTS, *DISCOVERY_FAULTS)
 Direction = Literal["both", "forward", "back"]
 
