--- a/burlmoor/deferred/queue.py
+++ b/burlmoor/deferred/queue.py
@@ -213,7 +213,9 @@
     def _has_releasable_job(self) -> bool:
         """Drop what has ended from the head of the release queue; return whether a job is left."""
         while (job := self._release_queue.first()) is not None:
-            if job.id in self._entries and job.end_reason is None:
+            # A job may be submitted again under its id while what it was before still stands in the queue.
+            entry = self._entries.get(job.id)
+            if entry is not None and entry.job is job and job.end_reason is None:
                 return True
             self._release_queue.drop_first()
         return False
--- a/burlmoor/testbed/fleet/clients.py
+++ b/burlmoor/testbed/fleet/clients.py
@@ -63,7 +63,7 @@
                     continue
                 due_ms = config.start_ms + job.start_seconds * 1000.0
                 if due_ms - now_ms() > _MIN_SLEEP_MS:
-                    await trio.sleep((due_ms - now_ms()) / 1000.0)
+                    await trio.sleep(max(0.0, due_ms - now_ms()) / 1000.0)
                 self.max_send_delay_ms = max(self.max_send_delay_ms, now_ms() - due_ms)
                 nursery.start_soon(self._send, job, due_ms)
 
--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -14,6 +14,8 @@
 from tests.support.node_harness import NodeHarness
 from tests.support.service_process import ServiceProcess
 
+PATIENT_MS = 20_000  # a client's timeout that the start of a process does not exhaust
+
 
 async def assert_overrides_hold_at_both(old: ServiceProcess, new: ServiceProcess) -> None:
     """What is set at either process holds at both; e0 was disabled before the handover."""
@@ -40,7 +42,7 @@
             await harness.wait_until(lambda: harness.jobs)
             assert await harness.send_callback("done", "one") == 204
             assert (await harness.read_response(used)).body == b"one"
-            waiting = await harness.submit_job("once", "a2", 5000)
+            waiting = await harness.submit_job("once", "a2", PATIENT_MS)
             await harness.wait_until(lambda: len(harness.jobs) == 2)
             partial = await harness.connect_client()
             await partial.socket_stream.send_all(b"POST /once/0f HTTP/1.1\r\nHost: svc\r\nRequest-Id: a3\r\n")
@@ -61,7 +63,8 @@
             later = await harness.submit_job("once", "a4")
             await harness.wait_until(lambda: len(harness.jobs) == 3)
             old.process.send_signal(signal.SIGTERM)
-            await partial.socket_stream.send_all(b"Request-Timeout-Ms: 3000\r\nContent-Length: 0\r\n\r\n")
+            rest = b"Request-Timeout-Ms: %d\r\nContent-Length: 0\r\n\r\n" % PATIENT_MS
+            await partial.socket_stream.send_all(rest)
             await harness.wait_until(lambda: len(harness.jobs) == 4)
             assert {name for name, _ in harness.jobs[2:]} == {"e1"}
             for job in (2, 3):
@@ -83,7 +86,7 @@
         async with open_handover_harness(tmp_path) as harness:
             first = await harness.start_process()
             await first.wait_ready()
-            client = await harness.submit_job("once", "a1", 5000)
+            client = await harness.submit_job("once", "a1", PATIENT_MS)
             await harness.wait_until(lambda: harness.jobs)
             second = await harness.start_process()
             await second.wait_ready()
--- a/tests/support/handover_harness.py
+++ b/tests/support/handover_harness.py
@@ -12,10 +12,20 @@
 
 import trio
 
-from tests.support.configuration import write_config
+from tests.support.configuration import SETTINGS_OBJECT, write_config
 from tests.support.node_harness import NodeHarness
 from tests.support.service_process import ROOT, ServiceProcess, find_free_address
 
+# A process takes up to some seconds to start, which jobs here have to outlast: with the usual objectives the
+# node would rightly shed them on a slow machine.
+_PATIENT_SETTINGS = {
+    **SETTINGS_OBJECT,
+    "RequestClasses": [
+        {**job_class, "Target": 20_000.0, "HardLimit": 30_000.0}
+        for job_class in SETTINGS_OBJECT["RequestClasses"]
+    ],
+}
+
 
 class HandoverHarness(NodeHarness):
     """Peers round one node whose processes share the socket that clients come to."""
@@ -66,6 +76,7 @@
                 listen=f"{host}:{port}",
                 discovery=await harness.start_discovery(),
                 known=harness.endpoint_list(3, e0="active", e1="active"),
+                settings=_PATIENT_SETTINGS,
             )
             try:
                 yield harness
