--- a/burlmoor/testbed/discovery.py
+++ b/burlmoor/testbed/discovery.py
@@ -25,6 +25,7 @@
 NOTIFIED_AFTER_FAILURE_MS = 6000.0
 _OUTAGE_POLL_MS = 50.0
 _DELAY_POLL_SECONDS = 0.05
+_QUEUE_TIMEOUT_SECONDS = 2.0  # after which a call is rejected while too many callers stand before it
 _PATH = "/registry/instances"
 
 _Entry = dict[str, Any]
@@ -60,13 +61,16 @@
 class DiscoveryService:
     """The endpoint list with its history, and the nodes that watch it.
 
-    `delay_ms_by_node` holds the nodes that get every change late. `notifications` is the record of what nodes
-    were notified of, including what a stalled or failed watch has missed and they count as notified of.
+    `delay_ms_by_node` holds the nodes that get every change late. While `is_crowded`, each call is rejected
+    once it has waited for its turn for too long; changes count as notified all the same. `notifications` is
+    the record of what nodes were notified of, including what a stalled or failed watch has missed and they
+    count as notified of.
     """
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.delay_ms_by_node: dict[str, float] = {}
         self.notifications: list[Notification] = []
+        self.is_crowded = False  # whether calls wait too long for their turn, and fail then
         self._nursery = nursery
         self._history: list[_Change] = []
         self._addresses: dict[str, dict[str, str]] = {}  # by node and endpoint
@@ -200,7 +204,10 @@
                 stream.reset()
                 return
             url = urlsplit(message.path)
-            if self._down:
+            is_crowded = self.is_crowded
+            if is_crowded:
+                await trio.sleep(_QUEUE_TIMEOUT_SECONDS)
+            if self._down or is_crowded:
                 self._failed_nodes.add(node)
                 await stream.write("HTTP/1.1 503 No")
                 continue
--- a/burlmoor/testbed/local_cluster.py
+++ b/burlmoor/testbed/local_cluster.py
@@ -120,6 +120,10 @@
         links = [link for (name, _), link in self._links.items() if name == node]
         return [*links, self._discovery_links[node]]
 
+    def discovery_link_of(self, node: str) -> NetworkLink:
+        """Return the link from one node to discovery."""
+        return self._discovery_links[node]
+
     # --- failures that discovery announces --------------------------------------------------------
 
     async def kill_executor(self, name: str, announced_after: float, restarted_after: float) -> None:
--- /dev/null
+++ b/tests/integration/test_list_lease.py
@@ -0,0 +1,149 @@
+"""The endpoint list over processes: until when a node may send on it, whatever keeps it from hearing more.
+
+In each scenario two of three executors leave while the node hears nothing of it. From 6 s after that it
+counts as notified, so nothing may reach them.
+"""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+import pytest
+import trio
+
+from burlmoor.testbed.clock import now_ms
+from burlmoor.testbed.local_cluster import LocalCluster
+from tests.support.linked_cluster import (
+    SEARCH,
+    announce_departures,
+    count_served,
+    late_attempts,
+    run_with_links,
+    send_jobs,
+)
+
+NOTIFIED_AFTER_MS = 6000.0
+GRACE_MS = 250.0 + 150.0  # of the drain rule, and for a loaded machine
+LARGE_FLEET = 200  # nodes, of whose calls to discovery many may come at once
+
+
+def test_a_node_that_was_cut_off_sends_nothing_on_its_old_list_once_the_partition_heals(
+    tmp_path: Path,
+) -> None:
+    async def isolate(cluster: LocalCluster) -> None:
+        await send_jobs(cluster, SEARCH, "aa", 20)
+        links = cluster.links_of(cluster.nodes[0].name)
+        for link in links:
+            link.cut()
+        await trio.sleep(1.0)
+        announce_departures(cluster)
+        await trio.sleep(8.0)
+        healed_ms = now_ms()
+        for link in links:
+            link.heal()
+        await send_jobs(cluster, SEARCH, "bb", 60, interval=0.03)
+        assert not late_attempts(cluster, healed_ms)
+        assert count_served(cluster, "bb") > 30, "the node has to serve again at once"
+
+    run_with_links(tmp_path, isolate)
+
+
+@pytest.mark.parametrize("nodes", [4, LARGE_FLEET])
+def test_a_new_process_sends_nothing_on_a_list_that_was_kept_before_servers_left(
+    tmp_path: Path, nodes: int
+) -> None:
+    async def restart(cluster: LocalCluster) -> None:
+        node = cluster.nodes[0]
+        old_list = cluster.discovery.full_list(node.name)
+        await node.kill()
+        announce_departures(cluster)
+        started_ms = now_ms()
+        await cluster.start_node(node, old_list)
+        await send_jobs(cluster, SEARCH, "bb", 60, interval=0.03)
+        assert not late_attempts(cluster, started_ms)
+        assert count_served(cluster, "bb") > 30
+
+    run_with_links(tmp_path, restart, Balancers=nodes)
+
+
+def test_a_process_that_was_held_up_sends_nothing_on_the_list_of_before(tmp_path: Path) -> None:
+    """It is stopped for 8 s, cut off from discovery, and jobs wait for it when it runs again."""
+
+    async def hold_up(cluster: LocalCluster) -> None:
+        node = cluster.nodes[0]
+        await send_jobs(cluster, SEARCH, "aa", 20)
+        cluster.discovery_link_of(node.name).cut()
+        node.send_signal(signal.SIGSTOP)
+        await trio.sleep(0.5)
+        announce_departures(cluster)
+        await trio.sleep(7.5)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_jobs, cluster, SEARCH, "bb", 60, 0.002)
+            await trio.sleep(0.3)
+            resumed_ms = now_ms()
+            node.send_signal(signal.SIGCONT)
+        assert not late_attempts(cluster, resumed_ms)
+        cluster.discovery_link_of(node.name).heal()
+        await send_jobs(cluster, SEARCH, "cc", 60, 0.03)
+        assert count_served(cluster, "cc") > 30
+
+    run_with_links(tmp_path, hold_up)
+
+
+@pytest.mark.parametrize("nodes", [4, LARGE_FLEET])
+def test_a_reset_that_ends_a_silence_is_no_sign_that_discovery_is_down(tmp_path: Path, nodes: int) -> None:
+    """The partition ends before the node counts as notified; what it held back is reset."""
+
+    async def cut_shortly(cluster: LocalCluster) -> None:
+        await send_jobs(cluster, SEARCH, "aa", 20)
+        link = cluster.discovery_link_of(cluster.nodes[0].name)
+        link.cut()
+        announce_departures(cluster)
+        notified_ms = now_ms() + NOTIFIED_AFTER_MS
+        await trio.sleep(4.5)
+        link.heal()
+        await trio.sleep(0.02)
+        link.cut()  # the reset is all that the node hears
+        await trio.sleep((notified_ms + GRACE_MS - now_ms()) / 1000.0)
+        await send_jobs(cluster, SEARCH, "bb", 60, 0.03)
+        assert not late_attempts(cluster, notified_ms + GRACE_MS)
+
+    run_with_links(tmp_path, cut_shortly, Balancers=nodes)
+
+
+def test_calls_that_fail_since_discovery_is_crowded_do_not_extend_the_list(tmp_path: Path) -> None:
+    """Discovery rejects each call after 2 s: it is up, so its changes count as notified."""
+
+    async def crowd(cluster: LocalCluster) -> None:
+        await send_jobs(cluster, SEARCH, "aa", 20)
+        cluster.discovery.is_crowded = True
+        await trio.sleep(1.5)  # the last watch has been answered
+        announce_departures(cluster)
+        notified_ms = now_ms() + NOTIFIED_AFTER_MS
+        await trio.sleep((NOTIFIED_AFTER_MS + GRACE_MS) / 1000.0)
+        await send_jobs(cluster, SEARCH, "bb", 60, 0.03)
+        assert not late_attempts(cluster, notified_ms + GRACE_MS)
+        cluster.discovery.is_crowded = False
+        await trio.sleep(4.0)
+        await send_jobs(cluster, SEARCH, "cc", 60, 0.03)
+        assert count_served(cluster, "cc") > 30
+
+    run_with_links(tmp_path, crowd)
+
+
+def test_the_list_goes_on_while_discovery_refuses_calls(tmp_path: Path) -> None:
+    """Discovery is down, so nothing counts as notified: a node that stopped would serve nobody."""
+
+    async def refuse(cluster: LocalCluster) -> None:
+        cluster.discovery.is_down = True
+        await trio.sleep(8.0)
+        await send_jobs(cluster, SEARCH, "aa", 60, 0.03)
+        assert count_served(cluster, "aa") > 50
+        node = cluster.nodes[0]
+        await node.kill()
+        await cluster.start_node(node)
+        await send_jobs(cluster, SEARCH, "bb", 60, 0.03)
+        assert count_served(cluster, "bb") > 50
+
+    run_with_links(tmp_path, refuse)
--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -122,3 +122,25 @@
             await old.stop()
 
     trio.run(scenario)
+
+
+def test_a_new_process_sends_nothing_on_a_list_that_its_predecessor_may_not_use_any_more(
+    tmp_path: Path,
+) -> None:
+    """Discovery is silent for longer than 6 s, before and after the handover."""
+
+    async def scenario() -> None:
+        async with open_handover_harness(tmp_path) as harness:
+            old = await harness.start_process()
+            await old.wait_ready()
+            harness.is_discovery_silent = True
+            await trio.sleep(8.0)
+            new = await harness.start_process()
+            await new.wait_ready()
+            clients = [await harness.submit_job("once", f"a{number}", 1500) for number in range(5)]
+            for client in clients:
+                assert (await harness.read_response(client)).status == 503
+            assert not harness.jobs
+            await new.stop()
+
+    trio.run(scenario)
--- /dev/null
+++ b/tests/support/linked_cluster.py
@@ -0,0 +1,57 @@
+"""A real node process with three executors behind links, and what is sent through it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from burlmoor.testbed.job_classes import JOB_CLASSES, JobClass
+from burlmoor.testbed.local_cluster import LocalCluster, executor_specs, local_cluster, new_request
+
+SEARCH, _, CONFIRM = JOB_CLASSES
+LEAVING = ("s-000", "s-001")  # of three executors: those that a scenario lets leave
+
+
+def run_with_links(
+    folder: Path, scenario: Callable[[LocalCluster], Awaitable[None]], **settings: Any
+) -> None:
+    """Run a scenario on a real node process with three executors behind links."""
+
+    async def run() -> None:
+        with trio.fail_after(60.0):
+            async with local_cluster(folder, executor_specs(3), has_links=True, **settings) as cluster:
+                await scenario(cluster)
+
+    trio.run(run)
+
+
+async def send_jobs(
+    cluster: LocalCluster, job_class: JobClass, prefix: str, count: int, interval: float = 0.01
+) -> None:
+    """Send jobs, so many seconds apart, and wait for all answers."""
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            request = new_request(f"{prefix}{number:03d}", job_class, 100.0)
+            nursery.start_soon(cluster.clients[0].send, request)
+            await trio.sleep(interval)
+
+
+def announce_departures(cluster: LocalCluster) -> None:
+    """Let discovery list the executors as gone; they go on answering."""
+    for name in LEAVING:
+        cluster.discovery.set_entry(name, health="left")
+
+
+def late_attempts(cluster: LocalCluster, since_ms: float) -> list[str]:
+    """Return the ids of the attempts that reached executors that have left."""
+    attempts = cluster.event_record.attempts
+    return [each.id for each in attempts if each.executor in LEAVING and each.received_ms > since_ms]
+
+
+def count_served(cluster: LocalCluster, prefix: str) -> int:
+    """Count the served jobs whose ids begin so."""
+    requests = cluster.event_record.requests.values()
+    return sum(each.is_served for each in requests if each.id.startswith(prefix))
