--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -41,6 +41,7 @@
 def test_an_enabled_executor_counts_as_newly_started_even_where_the_list_lags() -> None:
     # Protocol rule 4: it was restarted while it was disabled; at once under full load, it would fail.
     async def scenario(harness: NodeHarness) -> None:
+        await harness.wait_ready()  # before that nothing is live
         updates: list[EndpointListUpdate] = []
         on_endpoint_list = harness.node.engine.on_endpoint_list
 
