--- a/burlmoor/testbed/fleet/random_schedule.py
+++ b/burlmoor/testbed/fleet/random_schedule.py
@@ -44,48 +44,84 @@
 def draw_overlapping_schedule(seed: int, seconds: float) -> FaultSchedule:
     """Return many faults that overlap in time, drawn from a seed, with some time to recover at the end."""
     rng = random.Random(seed)
-    end = max(2.0, seconds - _RECOVERY_SECONDS)
+    drawer = _FaultDrawer(rng, max(2.0, seconds - _RECOVERY_SECONDS))
+    faults = [
+        drawer.draw_isolation(),
+        *drawer.draw_executor_faults(),
+        *drawer.draw_link_faults(),
+        *drawer.draw_discovery_faults(),
+        *drawer.draw_node_faults(),
+    ]
+    return FaultSchedule(seed, tuple(rng.sample(faults, rng.randint(_MIN_FAULTS, len(faults)))))
+
+
+class _FaultDrawer:
+    """Draws faults that begin and end within the first `end` seconds."""
+
+    def __init__(self, rng: random.Random, end: float) -> None:
+        self._rng = rng
+        self._end = end
+
+    def _draw(self, kind: str, longest: float, **parameters: Any) -> Fault:
+        start = self._rng.uniform(0.5, 0.9 * self._end)
+        duration = min(self._rng.uniform(0.3, longest), self._end - start)
+        return _round_times(Fault(kind=kind, start=start, duration=duration, **parameters))
 
-    def draw(kind: str, longest: float, **parameters: Any) -> Fault:
-        start = rng.uniform(0.5, 0.9 * end)
+    def _share(self, *percentages: int) -> str:
+        return f"{self._rng.choice(percentages)}%"
+
+    def _draw_announced(self, kind: str) -> Fault:
+        delay = round(self._rng.uniform(0.1, 2.5), 2)
+        return self._draw(kind, 6.0, executors=self._share(10, 20, 30), notification_delay=delay)
+
+    def draw_isolation(self) -> Fault:
+        """Draw an isolation, long enough for changes that are announced meanwhile to count as notified."""
+        duration = self._rng.uniform(0.6, 0.8) * self._end
         return _round_times(
-            Fault(kind=kind, start=start, duration=min(rng.uniform(0.3, longest), end - start), **parameters)
+            Fault(kind="isolate", start=0.1 * self._end, duration=duration, nodes=self._share(20, 30))
         )
 
-    def share(*percentages: int) -> str:
-        return f"{rng.choice(percentages)}%"
+    def draw_executor_faults(self) -> list[Fault]:
+        """Draw executors that vanish, die, drain or stand still."""
+        stagger = round(self._rng.uniform(0.0, 2.0), 2)
+        return [
+            self._draw_announced("vanish"),
+            self._draw_announced("vanish"),
+            self._draw_announced("die"),
+            self._draw("drain", 6.0, executors=self._share(10, 20), stagger=stagger),
+            self._draw("still", 4.0, executors=self._share(10, 20)),
+        ]
 
-    def announced(kind: str) -> Fault:
-        delay = round(rng.uniform(0.1, 2.5), 2)
-        return draw(kind, 6.0, executors=share(10, 20, 30), notification_delay=delay)
+    def draw_link_faults(self) -> list[Fault]:
+        """Draw links that are cut, reset connections or delay bytes."""
+        direction = self._rng.choice(_DIRECTIONS)
+        return [
+            self._draw(
+                "cut", 4.0, nodes=self._share(30, 50), executors=self._share(20, 40), direction=direction
+            ),
+            self._draw("reset", 4.0, nodes="*", executors=self._share(20, 40), magnitude=0.05),
+            self._draw("delay", 4.0, nodes=self._share(30, 50), executors="*", magnitude=40.0),
+        ]
 
-    # Long enough for changes that are announced meanwhile to count as notified.
-    isolation = Fault(
-        kind="isolate", start=0.1 * end, duration=rng.uniform(0.6, 0.8) * end, nodes=share(20, 30)
-    )
-    faults = [
-        _round_times(isolation),
-        announced("vanish"),
-        announced("vanish"),
-        announced("die"),
-        draw("drain", 6.0, executors=share(10, 20), stagger=round(rng.uniform(0.0, 2.0), 2)),
-        draw("still", 4.0, executors=share(10, 20)),
-        draw("cut", 4.0, nodes=share(30, 50), executors=share(20, 40), direction=rng.choice(_DIRECTIONS)),
-        draw("reset", 4.0, nodes="*", executors=share(20, 40), magnitude=0.05),
-        draw("delay", 4.0, nodes=share(30, 50), executors="*", magnitude=40.0),
-        draw("silent", 0.5, nodes=share(30, 60)),
-        draw("broken", 0.5, nodes=share(30, 60)),
-        draw("late", 3.0, nodes=share(30, 50), magnitude=2000.0),
-        draw("down", 3.0, nodes="n000"),
-        draw("crowded", 3.0, nodes="n000"),
-        draw("kill", 1.5, nodes=share(10, 20)),
-        # For so long that the list with which they start again is too old.
-        draw("kill", 9.0, nodes=share(10, 20)),
-        draw("term", 1.5, nodes=share(10, 20)),
-        draw("stop", 1.0, nodes=share(10, 20)),
-        draw("stop", 9.0, nodes=share(5, 10)),
-    ]
-    return FaultSchedule(seed, tuple(rng.sample(faults, rng.randint(_MIN_FAULTS, len(faults)))))
+    def draw_discovery_faults(self) -> list[Fault]:
+        """Draw watches that break and lists that come late, and a discovery that is down or crowded."""
+        return [
+            self._draw("silent", 0.5, nodes=self._share(30, 60)),
+            self._draw("broken", 0.5, nodes=self._share(30, 60)),
+            self._draw("late", 3.0, nodes=self._share(30, 50), magnitude=2000.0),
+            self._draw("down", 3.0, nodes="n000"),
+            self._draw("crowded", 3.0, nodes="n000"),
+        ]
+
+    def draw_node_faults(self) -> list[Fault]:
+        """Draw nodes that end or stop, some for so long that their list is too old afterwards."""
+        return [
+            self._draw("kill", 1.5, nodes=self._share(10, 20)),
+            self._draw("kill", 9.0, nodes=self._share(10, 20)),
+            self._draw("term", 1.5, nodes=self._share(10, 20)),
+            self._draw("stop", 1.0, nodes=self._share(10, 20)),
+            self._draw("stop", 9.0, nodes=self._share(5, 10)),
+        ]
 
 
 def _round_times(fault: Fault) -> Fault:
--- a/burlmoor/upstream/attempts.py
+++ b/burlmoor/upstream/attempts.py
@@ -4,7 +4,6 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 import trio
@@ -25,6 +24,7 @@
 )
 from burlmoor.upstream.health_check import HealthChecker
 from burlmoor.upstream.http import Response
+from burlmoor.upstream.in_flight import InFlightAttempt, InFlightAttempts
 from burlmoor.upstream.outcome import STATUS_ACCEPTED, outcome_of
 from burlmoor.upstream.pool import ConnectionPool
 from burlmoor.upstream.send_precondition import (
@@ -36,11 +36,6 @@
 # Seconds in which an endpoint accepts or rejects an attempt: measured 0.3 at most, where it paused meanwhile.
 _ACCEPT_TIMEOUT_SECONDS = 0.45
 _CANCEL_TIMEOUT_SECONDS = 2.0  # of a DELETE
-# After an endpoint was notified to drain, until its unaccepted attempts are withdrawn. The drain rule gives
-# 0.25 s, of which a node may be held up for 0.15 s.
-_WITHDRAW_AFTER_SECONDS = 0.1
-# The same, until one that is still there counts as a violation: the node may have been busy.
-_WITHDRAWN_AFTER_SECONDS = 0.25
 
 
 class RequestPayload(Protocol):
@@ -63,16 +58,6 @@
         """The key by which executors recognise a repeated request; empty if there is none."""
 
 
-@dataclass(slots=True)
-class _InFlight:
-    """An attempt that waits for its 202."""
-
-    scope: trio.CancelScope
-    is_written: bool = False  # whether the request's last byte has been written
-    is_accepted: bool = False
-    is_withdrawn: bool = False  # whether its endpoint was not live any more before it had accepted the job
-
-
 class AttemptRunner:
     """Owns every attempt that waits for its 202, and the DELETE calls that cancel attempts.
 
@@ -95,9 +80,8 @@
         self._clock = clock
         self._log = log
         self._health_checker = HealthChecker(engine, directory, pool, clock, log)
-        self._in_flight: dict[Attempt, _InFlight] = {}
+        self._in_flight = InFlightAttempts(directory, nursery, engine.invariants, log)
         self.pending_cancels = 0  # DELETE calls in flight
-        directory.observe_liveness(self)
 
     @property
     def in_flight(self) -> int:
@@ -108,12 +92,11 @@
 
     def start_attempt(self, attempt: Attempt) -> None:
         """Start the attempt; the engine learns how it ends, unless the endpoint accepts the job."""
-        self._in_flight[attempt] = in_flight = _InFlight(trio.CancelScope())
-        self._nursery.start_soon(self._run, attempt, in_flight)
+        self._nursery.start_soon(self._run, attempt, self._in_flight.add(attempt))
 
     def cancel_attempt(self, attempt: Attempt) -> None:
         """Cancel the attempt: by closing its connection before the 202, by a DELETE after it."""
-        in_flight = self._in_flight.get(attempt)
+        in_flight = self._in_flight.find(attempt)
         if in_flight is not None and not in_flight.is_accepted:
             in_flight.scope.cancel()
             self._engine.on_attempt_cancelled(attempt)
@@ -125,41 +108,9 @@
         """Start a health check of an endpoint; the engine learns the outcome."""
         self._nursery.start_soon(self._health_checker.check, endpoint)
 
-    # --- what the directory requires --------------------------------------------------------------
-
-    def on_endpoints_not_live(self, names: frozenset[str]) -> None:
-        """Withdraw, soon, the attempts at these endpoints that are not accepted by then."""
-        for attempt in self._in_flight:
-            if attempt.endpoint in names:
-                self._nursery.start_soon(self._withdraw_unaccepted, attempt)
-
-    async def _withdraw_unaccepted(self, attempt: Attempt) -> None:
-        """Withdraw an attempt unless its endpoint accepts it within the grace.
-
-        Without this, a request that a partition holds back would arrive at an endpoint that drains.
-        """
-        await trio.sleep(_WITHDRAW_AFTER_SECONDS)
-        in_flight = self._in_flight.get(attempt)
-        if in_flight is None or in_flight.is_accepted or self._directory.find_live(attempt.endpoint):
-            return
-        in_flight.is_withdrawn = True
-        in_flight.scope.cancel()
-        self._log(
-            "attempt-withdrawn",
-            id=attempt.job.id,
-            target=attempt.endpoint,
-            attempt=attempt.number,
-            written=in_flight.is_written,
-        )
-        await trio.sleep(_WITHDRAWN_AFTER_SECONDS - _WITHDRAW_AFTER_SECONDS)
-        if self._in_flight.get(attempt) is in_flight:
-            self._engine.invariants.record_violation(
-                Invariant.WITHDRAW, id=attempt.job.id, target=attempt.endpoint
-            )
-
     # --- one attempt ------------------------------------------------------------------------------
 
-    async def _run(self, attempt: Attempt, in_flight: _InFlight) -> None:
+    async def _run(self, attempt: Attempt, in_flight: InFlightAttempt) -> None:
         try:
             with in_flight.scope:
                 outcome = await self._exchange(attempt, in_flight)
@@ -175,9 +126,9 @@
             self._log("attempt-error", target=attempt.endpoint, error=repr(error))
             self._engine.on_attempt_ended(attempt, Outcome.RESET)
         finally:
-            del self._in_flight[attempt]
+            self._in_flight.remove(attempt)
 
-    async def _exchange(self, attempt: Attempt, in_flight: _InFlight) -> Outcome | None:
+    async def _exchange(self, attempt: Attempt, in_flight: InFlightAttempt) -> Outcome | None:
         """Send the request and read the response; the outcome, or None if the endpoint accepts the job."""
         try:
             connection = await self._send_request(attempt, in_flight)
@@ -207,7 +158,7 @@
         # Without this, a job would wait until its deadline on a connection that has fallen silent.
         raise ResponseTimeoutError(timeout)
 
-    async def _send_request(self, attempt: Attempt, in_flight: _InFlight) -> PooledConnection:
+    async def _send_request(self, attempt: Attempt, in_flight: InFlightAttempt) -> PooledConnection:
         """Write the complete request to a connection; that connection."""
         # On a pooled connection that turns out to be dead a non-idempotent job would be lost.
         must_connect = attempt.job.is_non_idempotent and self._pool.is_reuse_risky
--- /dev/null
+++ b/burlmoor/upstream/in_flight.py
@@ -0,0 +1,90 @@
+"""The attempts that wait for their 202, and the withdrawal of those whose endpoint stops being live."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+
+from burlmoor.endpoints.directory import EndpointDirectory
+from burlmoor.engine.job import Attempt
+from burlmoor.invariants import Invariant, InvariantMonitor
+from burlmoor.log import EventLogger
+
+# After an endpoint was notified to drain, until its unaccepted attempts are withdrawn. The drain rule gives
+# 0.25 s, of which a node may be held up for 0.15 s.
+_WITHDRAW_AFTER_SECONDS = 0.1
+# The same, until one that is still there counts as a violation: the node may have been busy.
+_WITHDRAWN_AFTER_SECONDS = 0.25
+
+
+@dataclass(slots=True)
+class InFlightAttempt:
+    """An attempt that waits for its 202; cancelling the scope gives it up."""
+
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    is_written: bool = False  # whether the request's last byte has been written
+    is_accepted: bool = False
+    is_withdrawn: bool = False  # whether its endpoint was not live any more before it had accepted the job
+
+
+class InFlightAttempts:
+    """Owns the attempts that wait for their 202; withdraws those whose endpoint stops being live."""
+
+    def __init__(
+        self,
+        directory: EndpointDirectory,
+        nursery: trio.Nursery,
+        invariants: InvariantMonitor,
+        log: EventLogger,
+    ) -> None:
+        self._directory = directory
+        self._nursery = nursery
+        self._invariants = invariants
+        self._log = log
+        self._by_attempt: dict[Attempt, InFlightAttempt] = {}
+        directory.observe_liveness(self)
+
+    def __len__(self) -> int:
+        return len(self._by_attempt)
+
+    def add(self, attempt: Attempt) -> InFlightAttempt:
+        """Add an attempt that is about to start."""
+        self._by_attempt[attempt] = in_flight = InFlightAttempt()
+        return in_flight
+
+    def find(self, attempt: Attempt) -> InFlightAttempt | None:
+        """Return the state of an attempt; None if it has ended or was accepted."""
+        return self._by_attempt.get(attempt)
+
+    def remove(self, attempt: Attempt) -> None:
+        """Remove an attempt that has ended, or was accepted."""
+        del self._by_attempt[attempt]
+
+    def on_endpoints_not_live(self, names: frozenset[str]) -> None:
+        """Withdraw, soon, the attempts at these endpoints that are not accepted by then."""
+        for attempt in self._by_attempt:
+            if attempt.endpoint in names:
+                self._nursery.start_soon(self._withdraw_unaccepted, attempt)
+
+    async def _withdraw_unaccepted(self, attempt: Attempt) -> None:
+        """Withdraw an attempt unless its endpoint accepts it within the grace.
+
+        Without this, a request that a partition holds back would arrive at an endpoint that drains.
+        """
+        await trio.sleep(_WITHDRAW_AFTER_SECONDS)
+        in_flight = self._by_attempt.get(attempt)
+        if in_flight is None or in_flight.is_accepted or self._directory.find_live(attempt.endpoint):
+            return
+        in_flight.is_withdrawn = True
+        in_flight.scope.cancel()
+        self._log(
+            "attempt-withdrawn",
+            id=attempt.job.id,
+            target=attempt.endpoint,
+            attempt=attempt.number,
+            written=in_flight.is_written,
+        )
+        await trio.sleep(_WITHDRAWN_AFTER_SECONDS - _WITHDRAW_AFTER_SECONDS)
+        if self._by_attempt.get(attempt) is in_flight:
+            self._invariants.record_violation(Invariant.WITHDRAW, id=attempt.job.id, target=attempt.endpoint)
