--- /dev/null
+++ b/tests/integration/test_held_up.py
@@ -0,0 +1,40 @@
+"""A process that was held up: what waits in its sockets when it runs again may be out of date."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+import pytest
+import trio
+
+from burlmoor.testbed.clock import now_ms
+from burlmoor.testbed.local_cluster import LocalCluster, new_request
+from tests.support.linked_cluster import SEARCH, run_with_links, send_jobs
+
+CLIENTS = 12
+LEAVE_AFTER_MS = 50.0
+
+
+@pytest.mark.parametrize("held_up_seconds", [0.3, 2.0])
+@pytest.mark.parametrize("do_clients_leave", [False, True])
+def test_no_attempt_begins_for_clients_that_left_while_the_process_was_held_up(
+    tmp_path: Path, held_up_seconds: float, do_clients_leave: bool
+) -> None:
+    async def hold_up(cluster: LocalCluster) -> None:
+        node = cluster.nodes[0]
+        await send_jobs(cluster, SEARCH, "aa", 20)
+        node.send_signal(signal.SIGSTOP)
+        async with trio.open_nursery() as nursery:
+            for number in range(CLIENTS):
+                request = new_request(f"bb{number}", SEARCH, 20.0)
+                request.disconnected_ms = now_ms() + LEAVE_AFTER_MS if do_clients_leave else None
+                nursery.start_soon(cluster.clients[0].send, request)
+            await trio.sleep(held_up_seconds)
+            node.send_signal(signal.SIGCONT)
+        await trio.sleep(1.0)
+        sent = {each.id for each in cluster.event_record.attempts if each.id.startswith("bb")}
+        # Without the other case, this one would also hold for a node that sends nothing at all.
+        assert len(sent) == (0 if do_clients_leave else CLIENTS)
+
+    run_with_links(tmp_path, hold_up)
