Give a process that has just started no lease before discovery has answered with a list

That discovery is down now says nothing of what it announced before. Change: only a list gives a new process its lease; a response without a list is treated as a rejection. A response that is too long is not taken for a stale connection and repeated in silence (it hid the log line).

--- a/burlmoor/discovery/list_lease.py
+++ b/burlmoor/discovery/list_lease.py
@@ -8,7 +8,7 @@
 What renews the lease:
 
 - an answer; one that comes late counts from its call's start, since a process that was held up reads it late;
-- a call that is rejected by an answer with another status: discovery can be reached, and is taken to be down.
+- a response with another status, or with no list: discovery can be reached, and is taken to be down.
   Nothing counts as notified while it is. One that has too many callers rejects calls in the same way, after
   the same time, so a node can't tell the two apart (docs/watch-design.md);
 - a call that is refused or reset, for the same reason.
@@ -19,8 +19,8 @@
 - a refusal or reset after a silence: it may be one that a partition has held back. The second in a row does;
 - anything but an answer once the lease has expired.
 
-A process that has just started was given a list of unknown age. It has no lease until discovery has answered,
-or two calls in a row have failed before any was met by silence.
+A process that has just started was given a list of unknown age. It has no lease until discovery has answered
+with a list, whatever else it hears: that discovery is down now says nothing of what was announced before.
 
 Where lists are pushed, the agent is on this machine; it is silent while discovery is down, and the list stays
 valid.
@@ -39,7 +39,6 @@
 _ANSWER_ALLOWANCE_SECONDS = 0.5  # beyond a call's wait; what is read later may have been written long before
 _QUEUE_ALLOWANCE_SECONDS = 2.5  # the same for a call that stood in discovery's queue until it was rejected
 _SILENT_RESULTS = frozenset((CallResult.TIMED_OUT, CallResult.UNREACHABLE))
-_FAILED_RESULTS = frozenset((CallResult.FAILED, CallResult.REJECTED))
 
 
 class ListLease:
@@ -52,8 +51,8 @@
         self._call_started_at = 0.0
         self._call_wait = 0.0
         self._failures = 0  # in a row
-        # How many failures in a row show that discovery is down.
-        self._failures_needed = math.inf if has_agent else 2
+        # How many failures in a row show that discovery is down; infinite where only an answer helps.
+        self._failures_needed = math.inf
 
     def on_start(self, now: float) -> None:
         """Take note that the calls begin now."""
@@ -66,23 +65,23 @@
 
     def on_call_ended(self, result: CallResult, now: float) -> None:
         """Take in how the last call ended."""
-        if result in _SILENT_RESULTS:
+        if result is CallResult.ANSWERED:
+            self._renew(now, _ANSWER_ALLOWANCE_SECONDS)
+        elif result in _SILENT_RESULTS:
             self._on_silence()
-        elif result in _FAILED_RESULTS:
-            self._on_failure(result, now)
         else:
-            self._renew(now, _ANSWER_ALLOWANCE_SECONDS)
+            self._on_failure(result, now)
 
     def _on_silence(self) -> None:
         self._failures = 0
-        self._failures_needed = 2 if self.is_confirmed else math.inf
+        self._failures_needed = max(2, self._failures_needed)
 
     def _on_failure(self, result: CallResult, now: float) -> None:
         self._failures += 1
-        if self.is_confirmed and now >= self._expires_at:
+        if not self.is_confirmed or now >= self._expires_at:
             self._failures_needed = math.inf
-        elif self.is_confirmed and result is CallResult.REJECTED:
-            self._failures_needed = 1
+        elif result is not CallResult.FAILED:
+            self._failures_needed = 1  # a response: it can be reached
         if self._failures >= self._failures_needed:
             self._renew(now, _QUEUE_ALLOWANCE_SECONDS)
 
--- a/burlmoor/upstream/pool.py
+++ b/burlmoor/upstream/pool.py
@@ -8,7 +8,12 @@
 from burlmoor.transport.sockets import DESCRIPTORS_EXHAUSTED, connect
 from burlmoor.transport.stream import SocketStream
 from burlmoor.upstream.connection import PooledConnection
-from burlmoor.upstream.errors import BrokenResponseError, ConnectError, RequestNotSentError
+from burlmoor.upstream.errors import (
+    BrokenResponseError,
+    ConnectError,
+    RequestNotSentError,
+    ResponseTooLongError,
+)
 from burlmoor.upstream.http import Response
 
 _RESPONSE_LIMIT_BYTES = 256 * 1024  # an executor's body holds 64 KiB at most
@@ -122,6 +127,8 @@
         connection = await self.acquire(address)
         try:
             response = await connection.exchange(method, path)
+        except ResponseTooLongError:
+            raise  # the peer has answered: the connection was not stale
         except (RequestNotSentError, BrokenResponseError):
             if not connection.is_reused:
                 raise
--- a/tests/discovery/test_client.py
+++ b/tests/discovery/test_client.py
@@ -105,6 +105,7 @@
     body: bytes, event: str, field: str
 ) -> None:
     async def scenario(harness: NodeHarness) -> None:
+        await harness.wait_ready()
         await harness.wait_until(lambda: harness.open_watches)
         # The node reads no more than it will hold.
         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
