--- a/burlmoor/testbed/clients.py
+++ b/burlmoor/testbed/clients.py
@@ -53,8 +53,13 @@
         body = json.dumps({"work": request.work_ms, "slots": slots, "fails": fails}).encode()
         outgoing = _Outgoing(f"POST /{request.job_class}/{key} HTTP/1.1", headers, body)
         timeout_at_ms = request.sent_ms + request.timeout_ms
+        remaining_seconds = (timeout_at_ms - now_ms()) / 1000.0 + _LATE_SECONDS
+        if remaining_seconds <= 0.0:
+            # This process was held up for longer than its client would have waited.
+            request.is_unsent = True
+            return request
         with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            with trio.move_on_after((timeout_at_ms - now_ms()) / 1000.0 + _LATE_SECONDS):
+            with trio.move_on_after(remaining_seconds):
                 await self._send(request, outgoing)
         return request
 
