Log every job that did not go the plain way, and count closes, retries and refusals by reason

Cause: the logs of the incident could not say why a node sent a job again, nor how it gave up the attempt before.

--- /dev/null
+++ b/burlmoor/counters.py
@@ -0,0 +1,48 @@
+"""Counts of what happens to jobs, attempts and connections, by reason.
+
+The log is bounded in rate and leaves lines out; the counts are complete.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import Enum
+
+
+class CounterGroup(Enum):
+    """What is counted; the value is its name in the log."""
+
+    JOBS = "jobs"  # by answer and reason
+    RETRIES = "retries"  # attempts after the first, by the outcome of the one before
+    GIVE_UPS = "give-ups"  # attempts that the node gave up, by reason
+    CLIENT_CLOSES = "client-closes"  # connections of clients and call-backs, by reason
+    ENDPOINT_CLOSES = "endpoint-closes"  # connections to endpoints, by reason
+
+
+Counts = dict[str, dict[str, int]]
+
+
+class EventCounters:
+    """Owns the counts of one process, in all and since they were last taken."""
+
+    def __init__(self) -> None:
+        self._totals: dict[CounterGroup, Counter[str]] = {group: Counter() for group in CounterGroup}
+        self._taken: dict[CounterGroup, Counter[str]] = {group: Counter() for group in CounterGroup}
+
+    def count(self, group: CounterGroup, reason: str) -> None:
+        """Count one event."""
+        self._totals[group][reason] += 1
+
+    def totals(self) -> Counts:
+        """Return all counts by group and reason; groups without any are left out."""
+        return {group.value: dict(counts) for group, counts in self._totals.items() if counts}
+
+    def take_changes(self) -> Counts:
+        """Return what was counted since the last call, as `totals` does."""
+        changes = {
+            group.value: dict(counts - self._taken[group])
+            for group, counts in self._totals.items()
+            if counts != self._taken[group]
+        }
+        self._taken = {group: counts.copy() for group, counts in self._totals.items()}
+        return changes
--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -8,12 +8,14 @@
 
 import trio
 
+from burlmoor.counters import CounterGroup
 from burlmoor.downstream.drain import ServiceState
 from burlmoor.downstream.http import HttpServerConnection
 from burlmoor.downstream.request_handler import write_final_answer
 from burlmoor.engine.answers import FinalAnswer
 from burlmoor.engine.job import Job
 from burlmoor.transport.stream import SocketStream
+from burlmoor.types.reasons import CloseReason
 
 if TYPE_CHECKING:
     from burlmoor.downstream.server import DownstreamServer
@@ -50,6 +52,7 @@
         self.job: Job | None = None
         self._scope = trio.CancelScope()
         self._is_processing = False
+        self._close_reason: CloseReason | None = None
         self.has_been_used = has_been_used  # whether a complete request has come
         self._accepted_at = trio.current_time() - age_seconds
         # Since when it is in its present state: accepted, receiving a request, or idle after a response.
@@ -93,9 +96,10 @@
                 self.process_input()
         except (OSError, BufferError):
             self._http.is_closing = True
+            self.note_close(CloseReason.BROKEN)
         if not self.is_finished or self._stream.outbound or self._http.may_have_unread_input:
             return False
-        self._stream.close()
+        self._close_stream()
         return True
 
     async def run(self) -> None:
@@ -109,10 +113,11 @@
                 if self._http.may_have_unread_input:
                     await self._linger()
         except (OSError, BufferError):
-            pass  # the peer is gone
+            self.note_close(CloseReason.BROKEN)
         except Exception as error:  # noqa: BLE001 - the connection's task ends here
             # Without this, one connection's fault would end the node.
             self._server.log("connection-failed", error=repr(error))
+            self.note_close(CloseReason.ERROR)
         finally:
             self.close_now()
 
@@ -143,15 +148,28 @@
         with trio.move_on_at(deadline):
             await self._stream.discard_until_end(max_bytes)
 
-    def close_soon(self) -> None:
+    def note_close(self, reason: CloseReason) -> None:
+        """Note why the connection is about to be closed; the first reason counts."""
+        self._close_reason = self._close_reason or reason
+
+    def close_soon(self, reason: CloseReason) -> None:
         """Close the connection soon."""
+        self.note_close(reason)
         self._scope.cancel()
         if self.is_finished and not self.has_unsent:
-            self._stream.close()
+            self._close_stream()
+
+    def _close_stream(self) -> None:
+        if self._stream.is_closed:
+            return  # or passed to another process
+        self.note_close(CloseReason.LAST_RESPONSE if self.is_finished else CloseReason.PEER_CLOSED)
+        assert self._close_reason is not None
+        self._server.engine.counters.count(CounterGroup.CLIENT_CLOSES, self._close_reason.value)
+        self._stream.close()
 
     def close_now(self) -> None:
         """Close the connection now; a client that waits on it gets no response any more."""
-        self._stream.close()
+        self._close_stream()
         if self.job is not None:
             self._server.waiting_client_count -= 1
             self._server.engine.on_client_disconnected(self.job)
@@ -213,6 +231,7 @@
             self._stream.send(data)
         except (OSError, BufferError):
             # The client has left, or does not read; its job has been answered all the same.
+            self.note_close(CloseReason.BROKEN)
             self._http.is_closing = True
             self._scope.cancel()
             return
@@ -223,8 +242,10 @@
         try:
             await self._stream.drain()
         except OSError:
+            self.note_close(CloseReason.BROKEN)
             self._scope.cancel()
         except Exception as error:  # noqa: BLE001 - the task that writes ends here
             # Without this, one connection's fault would end the node.
             self._server.log("connection-failed", error=repr(error))
+            self.note_close(CloseReason.ERROR)
             self._scope.cancel()
--- a/burlmoor/downstream/server.py
+++ b/burlmoor/downstream/server.py
@@ -26,6 +26,7 @@
 from burlmoor.engine.engine import Engine
 from burlmoor.log import EventLogger
 from burlmoor.transport.sockets import accept
+from burlmoor.types.reasons import CloseReason
 from burlmoor.types.settings import Idempotency
 
 _SWEEP_INTERVAL_SECONDS = 0.2
@@ -126,6 +127,7 @@
         except Exception as error:  # noqa: BLE001
             # Without this, one connection's fault would end the task that accepts all others.
             self.log("connection-failed", error=repr(error))
+            connection.note_close(CloseReason.ERROR)
             connection.close_now()
             return
         self.connections.add(connection)
@@ -143,7 +145,7 @@
         connection = select_for_eviction(self.connections, trio.current_time())
         if connection is None:
             return False
-        connection.close_soon()
+        connection.close_soon(CloseReason.MADE_ROOM)
         self.connections.discard(connection)
         return True
 
@@ -204,10 +206,10 @@
         if is_closing:
             self.close_idle()
         for connection in select_timed_out(self.connections, now):
-            connection.close_soon()
+            connection.close_soon(CloseReason.TIMED_OUT)
         surplus = select_surplus_idle(self.connections, self.waiting_client_count, self.max_connections, now)
         for connection in surplus:
-            connection.close_soon()
+            connection.close_soon(CloseReason.IDLE)
 
     def close_idle(self) -> None:
         """Close every connection that lies idle after use.
@@ -216,4 +218,4 @@
         first byte.
         """
         for connection in select_used_idle(self.connections):
-            connection.close_soon()
+            connection.close_soon(CloseReason.SHUTDOWN)
--- a/burlmoor/engine/action_executor.py
+++ b/burlmoor/engine/action_executor.py
@@ -22,6 +22,7 @@
     StartAttempt,
     WatchEndpoints,
 )
+from burlmoor.types.reasons import EndReason
 
 
 class ActionExecutor:
@@ -59,11 +60,11 @@
             case StartAttempt():
                 self._attempts.start(action, now)
             case RejectJob():
-                self._answer(action.id, Rejected(action.retry_after_ms))
+                self._answer(action.id, Rejected(action.retry_after_ms), action.reason)
             case FailJob():
-                self._answer(action.id, Failed())
+                self._answer(action.id, Failed(), action.reason)
             case CancelAttempt():
-                self._attempts.cancel(action)
+                self._attempts.cancel(action, now)
             case SetTimer():
                 self._policy.set_timer(now + max(0.0, action.delay_ms), action.token)
             case WatchEndpoints():
@@ -75,12 +76,12 @@
             case LogWarning():
                 self._log("policy-warning", text=action.text)
 
-    def _answer(self, number: int, answer: FinalAnswer) -> None:
+    def _answer(self, number: int, answer: FinalAnswer, reason: EndReason | None) -> None:
         job = self._jobs.find_by_number(number)
         if job is None or job.is_closed:
             return
         # Without this, a client would be told that a retry is harmless for a job that must not run twice.
         if isinstance(answer, Rejected) and job.is_non_idempotent and job.may_have_run():
             answer = Failed()
-        self._answerer.answer_job(job, answer)
+        self._answerer.answer_job(job, answer, reason)
         self._jobs.forget_if_done(job)
--- a/burlmoor/engine/attempt_controller.py
+++ b/burlmoor/engine/attempt_controller.py
@@ -14,6 +14,7 @@
 from burlmoor.types.actions import CancelAttempt, StartAttempt
 from burlmoor.types.events import AttemptEnded, AttemptProgressed, AttemptStarted
 from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import GiveUpReason
 from burlmoor.types.settings import Limits
 
 
@@ -39,6 +40,7 @@
         self._limits = limits
         self._guard = guard
         self._clock = clock
+        self._job_log = jobs.job_log
 
     def start(self, action: StartAttempt, now: float) -> None:
         """Start an attempt as the policy asks, or end it unsent if it can't be started any more."""
@@ -56,9 +58,10 @@
         else:
             if attempt_deadline < job.deadline:
                 self._deadlines.schedule(attempt_deadline, attempt)
+            self._job_log.on_attempt_started(attempt)
             self._upstream.start_attempt(attempt)
 
-    def cancel(self, action: CancelAttempt) -> None:
+    def cancel(self, action: CancelAttempt, now: float) -> None:
         """Cancel an attempt as the policy asks."""
         job = self._jobs.find_by_number(action.id)
         if job is None or not 0 <= action.attempt < len(job.attempts):
@@ -66,6 +69,7 @@
         attempt = job.attempts[action.attempt]
         if attempt.has_ended:
             return
+        self._job_log.on_attempt_given_up(attempt, action.reason or GiveUpReason.JOB_OVER, now)
         if job.is_closed or self._limits.may_hedge:
             self.end(attempt, Outcome.CANCELLED)
         # Otherwise the attempt ends only once the endpoint has confirmed. Without this, the job could be
@@ -80,24 +84,28 @@
         expired_jobs: list[Job] = []
         while (item := self._deadlines.pop_expired(now)) is not None:
             if isinstance(item, Attempt):
-                self._time_out(item)
+                self._time_out(item, now)
             elif not item.is_closed:
                 for attempt in item.open_attempts():
-                    self._time_out(attempt)
+                    self._time_out(attempt, now)
                 expired_jobs.append(item)
         return expired_jobs
 
-    def _time_out(self, attempt: Attempt) -> None:
+    def _time_out(self, attempt: Attempt, now: float) -> None:
         if attempt.has_ended:
             return
+        self._job_log.on_attempt_given_up(attempt, GiveUpReason.OUT_OF_TIME, now)
         self.end(attempt, Outcome.TIMEOUT)
         # Without this, the job could be sent again while it still runs at this endpoint.
         self._upstream.cancel_attempt(attempt)
 
     def report_started(self, attempt: Attempt) -> None:
         """Report to the policy that the endpoint has begun to run the job."""
-        if not attempt.has_ended:
-            self._policy.post(AttemptStarted(attempt.job.number, attempt.number, attempt.endpoint))
+        if attempt.has_ended:
+            return
+        if attempt.started_at is None:
+            attempt.started_at = self._clock()
+        self._policy.post(AttemptStarted(attempt.job.number, attempt.number, attempt.endpoint))
 
     def report_progress(self, attempt: Attempt, fraction: float) -> None:
         """Report to the policy that the endpoint has done this fraction, from 0 to 1, of the job."""
@@ -111,10 +119,11 @@
         if attempt.has_ended:
             return
         attempt.outcome = outcome
+        attempt.ended_at = self._clock()
         job = attempt.job
         if outcome is Outcome.SERVED and not job.is_closed:
             self._answerer.answer_job(job, Served(result or b""))
-        elapsed_ms = self._clock() - attempt.sent_at
+        elapsed_ms = attempt.ended_at - attempt.sent_at
         self._policy.post(
             AttemptEnded(job.number, attempt.number, attempt.endpoint, outcome, elapsed_ms, job.is_closed)
         )
--- a/burlmoor/engine/deferral_controller.py
+++ b/burlmoor/engine/deferral_controller.py
@@ -14,6 +14,7 @@
 from burlmoor.engine.policy_driver import PolicyDriver
 from burlmoor.log import EventLogger
 from burlmoor.types.events import JobRequest
+from burlmoor.types.reasons import EndReason
 
 
 class DeferralController:
@@ -96,7 +97,7 @@
     def _reject_deferred_jobs(self) -> None:
         deferred = [job for job in self._jobs if job.deferred_request is not None and not job.is_closed]
         for job in deferred:
-            self._answerer.answer_job(job, Rejected())
+            self._answerer.answer_job(job, Rejected(), EndReason.RUN_CONDITIONS)
             self._jobs.forget_if_done(job)
 
     def _apply(self, decision: ReleasedJob | EndedJob, now: float) -> None:
@@ -104,7 +105,7 @@
         if job is None or job.is_closed or job.deferred_request is None:
             return
         if isinstance(decision, EndedJob):
-            self._answerer.answer_job(job, decision.answer)
+            self._answerer.answer_job(job, decision.answer, EndReason.RUN_CONDITIONS)
             self._jobs.forget_if_done(job)
         else:
             self._release(job, job.deferred_request, decision.credit, now)
--- a/burlmoor/engine/engine.py
+++ b/burlmoor/engine/engine.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from burlmoor.counters import EventCounters
 from burlmoor.engine.action_executor import ActionExecutor
 from burlmoor.engine.answers import Failed, FinalAnswer, Rejected
 from burlmoor.engine.attempt_controller import AttemptController
@@ -20,6 +21,7 @@
 from burlmoor.engine.deferral_controller import DeferralController
 from burlmoor.engine.interfaces import Discovery, Responder, Upstream
 from burlmoor.engine.job import Attempt, Job
+from burlmoor.engine.job_log import JobLog
 from burlmoor.engine.job_registry import JobRegistry
 from burlmoor.engine.policy_driver import PolicyDriver
 from burlmoor.invariants import InvariantMonitor
@@ -35,6 +37,7 @@
     JobRequest,
 )
 from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import EndReason, GiveUpReason
 from burlmoor.types.settings import Idempotency, Settings
 
 
@@ -56,7 +59,9 @@
         self.settings = settings
         self.clock = clock
         self.wake = wake
-        self.jobs = JobRegistry()
+        self.counters = EventCounters()
+        self._job_log = JobLog(log, self.counters)
+        self.jobs = JobRegistry(self._job_log)
         self.ids_in_other_process = self.jobs.ids_in_other_process  # for the handover, which keeps it
         self._log = log
         self.invariants = InvariantMonitor(log)
@@ -77,7 +82,14 @@
         limits = self.settings.limits
         guard = AttemptGuard(limits.max_attempts, self.invariants)
         self._attempts = AttemptController(
-            self.jobs, self._deadlines, driver, self, upstream, limits, guard, self.clock
+            self.jobs,
+            self._deadlines,
+            driver,
+            self,
+            upstream,
+            limits,
+            guard,
+            self.clock,
         )
         self._actions = ActionExecutor(
             self.jobs, self._attempts, driver, self, upstream, discovery, self._log
@@ -157,7 +169,9 @@
         # The policy is not told of a shutdown: the difference would look like time spent elsewhere.
         deadline = self._deadlines.deadline_after(now, timeout_ms)
         is_non_idempotent = request.job_class in self._non_idempotent_classes
-        job = self.jobs.create(request_id, responder, payload, now, deadline, is_non_idempotent)
+        job = self.jobs.create(
+            request_id, responder, request.job_class, payload, now, deadline, is_non_idempotent
+        )
         self._deferral.on_job_opened(job, request, conditions, now)
         # A deferred job is released or ended before its deadline; scheduled here it would be kept till then.
         if job.deferred_request is None:
@@ -168,16 +182,17 @@
     def on_client_disconnected(self, job: Job) -> None:
         """Close a job whose client has disconnected; it gets no answer."""
         if not job.is_closed:
-            self._close(job, None)
+            self._close(job, None, EndReason.DISCONNECTED)
             self._report_closed(job)
 
-    def answer_job(self, job: Job, answer: FinalAnswer) -> None:
-        """Close an open job and give its client the final answer."""
-        self._close(job, answer)
+    def answer_job(self, job: Job, answer: FinalAnswer, reason: EndReason | None = None) -> None:
+        """Close an open job and give its client the final answer; the reason of one that is no result."""
+        self._close(job, answer, reason)
         job.responder.respond(answer)
 
-    def _close(self, job: Job, answer: FinalAnswer | None) -> None:
+    def _close(self, job: Job, answer: FinalAnswer | None, reason: EndReason | None) -> None:
         job.is_closed = True
+        self._job_log.on_job_closed(job, answer, reason, self.clock())
         self._deferral.on_job_closed(job, answer)
 
     def _report_closed(self, job: Job) -> None:
@@ -202,6 +217,10 @@
         """Note how an attempt ended; for one that has ended already this changes nothing."""
         self._attempts.end(attempt, outcome, result)
 
+    def note_given_up(self, attempt: Attempt, reason: GiveUpReason) -> None:
+        """Note why upstream has given up an attempt, for the log."""
+        self._job_log.on_attempt_given_up(attempt, reason, self.clock())
+
     def on_attempt_cancelled(self, attempt: Attempt) -> None:
         """Note that the endpoint has confirmed the cancel, or can't hold the job any more."""
         self._attempts.end(attempt, Outcome.CANCELLED)
@@ -235,8 +254,10 @@
         for job in jobs:
             if job.is_closed:
                 continue
-            self._log("answered-at-stop" if now >= self.answer_by else "answered-at-deadline", id=job.id)
-            self.answer_job(job, Failed() if job.may_have_run() else Rejected())
+            is_shutdown = now >= self.answer_by
+            self._log("answered-at-stop" if is_shutdown else "answered-at-deadline", id=job.id)
+            reason = EndReason.SHUTDOWN if is_shutdown else EndReason.DEADLINE
+            self.answer_job(job, Failed() if job.may_have_run() else Rejected(), reason)
             self._report_closed(job)
 
 
--- a/burlmoor/engine/interfaces.py
+++ b/burlmoor/engine/interfaces.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from burlmoor.engine.answers import FinalAnswer
+from burlmoor.types.reasons import EndReason
 
 if TYPE_CHECKING:
     from burlmoor.engine.job import Attempt, Job
@@ -43,5 +44,5 @@
 class JobAnswerer(Protocol):
     """The one place where jobs end: the engine, as its parts see it."""
 
-    def answer_job(self, job: Job, answer: FinalAnswer) -> None:
-        """Close an open job and give its client the final answer."""
+    def answer_job(self, job: Job, answer: FinalAnswer, reason: EndReason | None = None) -> None:
+        """Close an open job and give its client the final answer; the reason of one that is no result."""
--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -8,6 +8,7 @@
 from burlmoor.engine.interfaces import Responder
 from burlmoor.types.events import JobRequest
 from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import EndReason, GiveUpReason
 
 
 @dataclass(slots=True, eq=False)
@@ -20,6 +21,12 @@
     sent_at: float
     deadline: float
     outcome: Outcome | None = None  # None until the attempt has ended
+    written_at: float | None = None  # the last byte of its request
+    accepted_at: float | None = None  # the endpoint's 202
+    started_at: float | None = None  # the endpoint has reported that the job runs
+    given_up_at: float | None = None
+    give_up_reason: GiveUpReason | None = None
+    ended_at: float | None = None
 
     @property
     def has_ended(self) -> bool:
@@ -34,13 +41,23 @@
     id: str  # the client's Request-Id
     number: int  # the job's id in the policy's events and actions
     responder: Responder
+    class_name: str
     payload: Any  # what upstream sends of the request; opaque to the engine
-    admitted_at: float
+    received_at: float
     deadline: float
     is_non_idempotent: bool
+    admitted_at: float = field(init=False)  # to the policy: later than received where the job was deferred
     is_closed: bool = False  # whether the job has its final answer, or needs none
     deferred_request: JobRequest | None = None  # set while the job is deferred and unknown to the policy
     attempts: list[Attempt] = field(default_factory=list)
+    # How it was closed, for the log.
+    answer_name: str = ""
+    end_reason: EndReason | None = None
+    closed_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Admit the job as it is received; a release from deferral admits it anew."""
+        self.admitted_at = self.received_at
 
     def open_attempts(self) -> list[Attempt]:
         """Return the attempts that have not ended."""
--- a/burlmoor/engine/job_registry.py
+++ b/burlmoor/engine/job_registry.py
@@ -7,12 +7,14 @@
 
 from burlmoor.engine.interfaces import Responder
 from burlmoor.engine.job import Attempt, Job
+from burlmoor.engine.job_log import JobLog
 
 
 class JobRegistry:
     """Holds each job until it is closed and all its attempts have ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, job_log: JobLog) -> None:
+        self.job_log = job_log
         self.ids_in_other_process: set[str] = set()  # admitted by another process of this node
         self._by_number: dict[int, Job] = {}
         self._by_id: dict[str, Job] = {}
@@ -29,14 +31,24 @@
         self,
         request_id: str,
         responder: Responder,
+        class_name: str,
         payload: Any,
-        admitted_at: float,
+        received_at: float,
         deadline: float,
         is_non_idempotent: bool,
     ) -> Job:
         """Register a new open job, with a number that no job of this node has had."""
         self._last_number += 1
-        job = Job(request_id, self._last_number, responder, payload, admitted_at, deadline, is_non_idempotent)
+        job = Job(
+            request_id,
+            self._last_number,
+            responder,
+            class_name,
+            payload,
+            received_at,
+            deadline,
+            is_non_idempotent,
+        )
         self._by_number[job.number] = self._by_id[request_id] = job
         return job
 
@@ -57,9 +69,11 @@
 
     def forget_if_done(self, job: Job) -> None:
         """Drop a job that is closed and has no open attempt; any other is kept."""
-        if job.is_closed and not job.open_attempts():
-            self._by_number.pop(job.number, None)
-            self._by_id.pop(job.id, None)
+        if not job.is_closed or job.open_attempts():
+            return
+        if self._by_number.pop(job.number, None) is not None:
+            del self._by_id[job.id]
+            self.job_log.on_job_over(job)
 
     def ids(self) -> list[str]:
         """Return the request ids of all jobs that are kept, closed ones with open attempts included."""
--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -52,7 +52,7 @@
                 await trio.sleep(_POLL_SECONDS)
         await self._finish_work()
         self._handover.close()
-        self._log("stopped", violations=engine.invariants.counts())
+        self._log("stopped", violations=engine.invariants.counts(), counts=engine.counters.totals())
 
     async def _finish_work(self) -> None:
         # Call-backs for what is open still come in, so the node listens until the last job is answered.
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -46,6 +46,7 @@
 _UNANSWERED_CLIENTS_TIMEOUT_SECONDS = 0.5
 _IDLE_SHARE = 0.4  # of the time after which an executor's machine closes an idle connection
 _IDLE_SWEEP_SECONDS = 1.0
+_COUNTS_INTERVAL_SECONDS = 10.0  # between two lines with counts
 # Seeds of what draws at random apart from the engine, as offsets from the node's.
 _DISCOVERY_SEED_OFFSET = 1
 _DEFERRED_SEED_OFFSET = 2
@@ -105,6 +106,7 @@
             max_connections,
             reuse_delay_seconds=REUSE_DELAY_SECONDS,
             invariants=self.engine.invariants,
+            counters=self.engine.counters,
         )
 
     def _build_discovery_pool(self) -> ConnectionPool:
@@ -168,7 +170,14 @@
         self.directory.load_cached(self._config.cached_endpoints)
         self.admin.load()
         self._apply_options(self._config.options)
-        for task in (self.run_engine, self.server.sweep, self.close_idle_connections, self._begin_service):
+        tasks = (
+            self.run_engine,
+            self.server.sweep,
+            self.close_idle_connections,
+            self._log_counts,
+            self._begin_service,
+        )
+        for task in tasks:
             self._nursery.start_soon(task)
         if self.admin_server is not None:
             self._nursery.start_soon(self.admin_server.run)
@@ -224,6 +233,13 @@
             self.pool.close_expired()
             self.discovery_pool.close_expired()
 
+    async def _log_counts(self) -> None:
+        """Write what happened to jobs, attempts and connections, by reason, again and again."""
+        while True:
+            await trio.sleep(_COUNTS_INTERVAL_SECONDS)
+            if counts := self.engine.counters.take_changes():
+                self._log("counts", **counts)
+
     # --- signals --------------------------------------------------------------------------------
 
     async def handle_signals(self, signals: AsyncIterator[int]) -> None:
--- a/burlmoor/log.py
+++ b/burlmoor/log.py
@@ -12,6 +12,7 @@
 
 # Lines of one event in a window; the first line of the next window says how many were dropped.
 _MAX_LINES_PER_WINDOW = 10
+_MAX_LINES_OF_EVENT = {"job-ended": 200}  # a line a job, which an incident cannot do without
 _WINDOW_SECONDS = 10.0
 
 
@@ -37,14 +38,14 @@
         if now >= self._window_start + _WINDOW_SECONDS:
             self._start_window(now)
         self._line_counts[event] += 1
-        if self._line_counts[event] <= _MAX_LINES_PER_WINDOW:
+        if self._line_counts[event] <= _max_lines(event):
             self._write(now, event, fields)
 
     def _start_window(self, now: float) -> None:
         dropped = {
-            event: count - _MAX_LINES_PER_WINDOW
+            event: count - _max_lines(event)
             for event, count in self._line_counts.items()
-            if count > _MAX_LINES_PER_WINDOW
+            if count > _max_lines(event)
         }
         self._window_start = now
         self._line_counts.clear()
@@ -59,3 +60,8 @@
         except (OSError, ValueError):
             # Without this, a full or closed log would end the node.
             return
+
+
+def _max_lines(event: str) -> int:
+    """Return how many lines of an event one window may have."""
+    return _MAX_LINES_OF_EVENT.get(event, _MAX_LINES_PER_WINDOW)
--- a/burlmoor/policy/dispatcher.py
+++ b/burlmoor/policy/dispatcher.py
@@ -104,7 +104,7 @@
         self._outcomes.record_start(attempt, now)
         if not job.is_closed:
             job.is_queued = False
-            self.context.safety.cancel_pending(job, keep=attempt)
+            self.context.safety.cancel_others(job, attempt)
 
     def _on_attempt_progressed(self, event: ev.AttemptProgressed, now: float) -> None:
         found = self.context.jobs.find_attempt(event.id, event.attempt)
--- a/burlmoor/policy/load_shedding.py
+++ b/burlmoor/policy/load_shedding.py
@@ -4,6 +4,7 @@
 
 from burlmoor.policy.context import PolicyContext
 from burlmoor.stats.job import ScheduledJob
+from burlmoor.types.reasons import EndReason
 
 MAX_QUEUE_LOAD = 0.8  # of the jobs' objectives, the time that queued jobs will have taken
 UNKNOWN_FASTEST_SLOWNESS = 0.5  # time per unit of work while no kind of endpoint has been met: optimistic
@@ -41,7 +42,7 @@
             is_excess = is_overload and job.rounds_waited > 0 and not job.attempts
             (excess if is_excess else remaining).append(job)
         for job in reversed(excess):
-            self._context.jobs.abandon(job)
+            self._context.jobs.abandon(job, EndReason.OVERLOAD)
         if excess:
             self._context.warn("overload: refusing the least worth", now)
         return remaining
@@ -49,4 +50,4 @@
     def _drop_from_queue(self, job: ScheduledJob) -> None:
         job.is_queued = False
         if not job.pending_attempts():
-            self._context.jobs.abandon(job)
+            self._context.jobs.abandon(job, EndReason.TOO_LATE)
--- a/burlmoor/policy/open_jobs.py
+++ b/burlmoor/policy/open_jobs.py
@@ -6,6 +6,7 @@
 
 from burlmoor.policy.safety import RetrySafety
 from burlmoor.stats.job import ScheduledAttempt, ScheduledJob
+from burlmoor.types.reasons import EndReason
 
 
 class OpenJobs:
@@ -24,12 +25,12 @@
             return None
         return job, job.attempts[number]
 
-    def abandon(self, job: ScheduledJob) -> None:
+    def abandon(self, job: ScheduledJob, reason: EndReason) -> None:
         """Reject the job, or fail it where that is not safe, with a Retry-After spread at random.
 
         Every rejection comes from here. Callers: `LoadShedder` and `RetryPolicy`, which say why.
         """
-        self._safety.finish(job, self._rng.uniform(0.5, 1.0) * self._max_retry_after_ms)
+        self._safety.finish(job, self._rng.uniform(0.5, 1.0) * self._max_retry_after_ms, reason)
         self.forget_if_over(job)
 
     def forget_if_over(self, job: ScheduledJob) -> None:
--- a/burlmoor/policy/retries.py
+++ b/burlmoor/policy/retries.py
@@ -7,6 +7,7 @@
 from burlmoor.policy.dispatch_rounds import DispatchRounds
 from burlmoor.stats.endpoint_statistics import EVIDENCE_HALF_LIFE_MS
 from burlmoor.stats.job import ScheduledAttempt, ScheduledJob
+from burlmoor.types.reasons import EndReason, GiveUpReason
 from burlmoor.types.settings import Idempotency
 
 SILENT_ENDPOINT_MS = 3000.0  # an endpoint that has reported nothing for this long may not be working
@@ -29,10 +30,12 @@
         if job.is_closed or job.is_streaming:
             return
         has_started = any(attempt.started_at is not None for attempt in job.pending_attempts())
-        is_useless = now >= job.useful_until and not has_started
-        if now >= job.deadline_at - self._tick_ms or is_useless:
-            # Rule 1; and what has not even started when it can no longer count must free its slots.
-            self._context.jobs.abandon(job)
+        if now >= job.deadline_at - self._tick_ms:
+            self._context.jobs.abandon(job, EndReason.DEADLINE)  # rule 1
+            return
+        if now >= job.useful_until and not has_started:
+            # What has not even started when it can no longer count must free its slots.
+            self._context.jobs.abandon(job, EndReason.NOT_STARTED)
             return
         for attempt in job.pending_attempts():
             if now >= attempt.check_at:
@@ -44,7 +47,8 @@
         if attempt.started_at is not None or attempt.is_overdue:
             self._measured.record_attempt_end(attempt.endpoint, False, now)
             self._context.warn("silent executors: moving repeatable work away", now)
-            self._redistribute(job, attempt, now)
+            reason = GiveUpReason.OVERDUE if attempt.started_at is None else GiveUpReason.SILENT
+            self._redistribute(job, attempt, reason, now)
             return
         # Not started by now: it waits behind others. Nothing more is sent there until it starts.
         attempt.is_overdue = True
@@ -52,7 +56,7 @@
         self._measured.record_start_delay(attempt.endpoint, now - attempt.sent_at, now, has_started=False)
         if self._may_redistribute_unstarted(job, attempt, now):
             self._sender.redistribution_tokens -= 1.0
-            self._redistribute(job, attempt, now)
+            self._redistribute(job, attempt, GiveUpReason.OVERDUE, now)
 
     def _may_redistribute_unstarted(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> bool:
         """Return whether an attempt that has not started may be made elsewhere.
@@ -68,7 +72,9 @@
             and job.job_class.idempotency is Idempotency.IDEMPOTENT
         )
 
-    def _redistribute(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> None:
+    def _redistribute(
+        self, job: ScheduledJob, attempt: ScheduledAttempt, reason: GiveUpReason, now: float
+    ) -> None:
         """Send a job elsewhere, where its class allows a repeat and attempts are left."""
         if job.is_queued or not self._limits.may_cancel:
             return
@@ -77,7 +83,7 @@
         if job.job_class.idempotency is Idempotency.NON_IDEMPOTENT:
             return
         if not self._limits.may_hedge:
-            self._context.safety.cancel(job, attempt)
+            self._context.safety.cancel(job, attempt, reason)
         elif len(job.pending_attempts()) == 1:
             self._rounds.enqueue(job, now, RETRY_TICKS)
 
@@ -90,4 +96,4 @@
             job.rounds_waited += 1
             self._rounds.enqueue(job, now, RETRY_TICKS)
         else:
-            self._context.jobs.abandon(job)
+            self._context.jobs.abandon(job, EndReason.NO_RETRY)
--- a/burlmoor/policy/safety.py
+++ b/burlmoor/policy/safety.py
@@ -9,6 +9,7 @@
 from burlmoor.stats.endpoint import Endpoint
 from burlmoor.stats.job import ScheduledAttempt, ScheduledJob
 from burlmoor.types.actions import Action, CancelAttempt, FailJob, RejectJob, StartAttempt
+from burlmoor.types.reasons import EndReason, GiveUpReason
 from burlmoor.types.settings import DeduplicationScope, Idempotency, Limits
 
 
@@ -51,28 +52,31 @@
         job.attempts.append(attempt)
         self._actions.append(StartAttempt(job.id, attempt.endpoint.id, 0.0))
 
-    def finish(self, job: ScheduledJob, retry_after_ms: float) -> None:
+    def finish(self, job: ScheduledJob, retry_after_ms: float, reason: EndReason) -> None:
         """Give the one final answer: a rejection where the rules allow it, else a failure."""
         if job.is_closed or job.is_streaming:
             return
         # The Retry-After is given also where the platform's own clients ignore it: others may read it.
-        is_rejection = self.may_reject(job)
-        self._actions.append(RejectJob(job.id, retry_after_ms) if is_rejection else FailJob(job.id))
+        if self.may_reject(job):
+            self._actions.append(RejectJob(job.id, retry_after_ms, reason))
+        else:
+            self._actions.append(FailJob(job.id, reason))
         self.close(job)
 
     def close(self, job: ScheduledJob) -> None:
         """End the request: nothing more is sent for it."""
         if not job.is_closed:
             job.is_closed = True
-            self.cancel_pending(job)
+            for attempt in job.pending_attempts():
+                self.cancel(job, attempt, GiveUpReason.JOB_OVER)
 
-    def cancel_pending(self, job: ScheduledJob, keep: ScheduledAttempt | None = None) -> None:
-        """Cancel the attempts that can no longer count, where the settings allow it."""
+    def cancel_others(self, job: ScheduledJob, started: ScheduledAttempt) -> None:
+        """Cancel the attempts that can no longer count since another one has started."""
         for attempt in job.pending_attempts():
-            if attempt is not keep:
-                self.cancel(job, attempt)
+            if attempt is not started:
+                self.cancel(job, attempt, GiveUpReason.SUPERSEDED)
 
-    def cancel(self, job: ScheduledJob, attempt: ScheduledAttempt) -> None:
+    def cancel(self, job: ScheduledJob, attempt: ScheduledAttempt, reason: GiveUpReason) -> None:
         """Cancel one attempt, where the settings allow it and no response has begun."""
         if self._limits.may_cancel and not job.is_streaming:
-            self._actions.append(CancelAttempt(job.id, attempt.number))
+            self._actions.append(CancelAttempt(job.id, attempt.number, reason))
--- a/burlmoor/types/actions.py
+++ b/burlmoor/types/actions.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from burlmoor.types.reasons import EndReason, GiveUpReason
+
 
 class StartAttempt(NamedTuple):
     """Send a job to an endpoint; a job's attempts are numbered from 0 in the order of these actions."""
@@ -18,12 +20,14 @@
 
     id: int
     retry_after_ms: float = 0.0  # advice for the client; 0: none
+    reason: EndReason | None = None
 
 
 class FailJob(NamedTuple):
     """Final answer: failed. The client is not told whether the job has run."""
 
     id: int
+    reason: EndReason | None = None
 
 
 class CancelAttempt(NamedTuple):
@@ -31,6 +35,7 @@
 
     id: int
     attempt: int
+    reason: GiveUpReason | None = None
 
 
 class SetTimer(NamedTuple):
--- a/burlmoor/upstream/attempts.py
+++ b/burlmoor/upstream/attempts.py
@@ -15,10 +15,12 @@
 from burlmoor.invariants import Invariant
 from burlmoor.log import EventLogger
 from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import CloseReason, GiveUpReason
 from burlmoor.upstream.connection import PooledConnection
 from burlmoor.upstream.errors import (
     BrokenResponseError,
     ConnectError,
+    ConnectionEndedError,
     RequestNotSentError,
     ResponseTimeoutError,
 )
@@ -80,7 +82,7 @@
         self._clock = clock
         self._log = log
         self._health_checker = HealthChecker(engine, directory, pool, clock, log)
-        self._in_flight = InFlightAttempts(directory, nursery, engine.invariants, log)
+        self._in_flight = InFlightAttempts(engine, directory, nursery, log)
         self.pending_cancels = 0  # DELETE calls in flight
 
     @property
@@ -124,6 +126,7 @@
             # The boundary of the attempt's task: without this, an error in one attempt would end the node.
             # Whether the job has run is not known.
             self._log("attempt-error", target=attempt.endpoint, error=repr(error))
+            self._engine.note_given_up(attempt, GiveUpReason.INTERNAL_ERROR)
             self._engine.on_attempt_ended(attempt, Outcome.RESET)
         finally:
             self._in_flight.remove(attempt)
@@ -138,17 +141,27 @@
             return Outcome.UNREACHABLE
         try:
             response = await self._read_response(attempt, connection)
-        except BrokenResponseError:
+        except BrokenResponseError as error:
             self._pool.on_connection_broken(connection)
-            connection.close()
+            self._note_broken_response(attempt, error)
+            connection.close(CloseReason.BROKEN)
             return Outcome.RESET
         except BaseException:
-            connection.close()
+            connection.close(CloseReason.GIVEN_UP)
             raise
         in_flight.is_accepted = response.status == STATUS_ACCEPTED
+        if in_flight.is_accepted:
+            attempt.accepted_at = self._clock()
         connection.release()
         return None if in_flight.is_accepted else outcome_of(response)
 
+    def _note_broken_response(self, attempt: Attempt, error: BrokenResponseError) -> None:
+        """Note why the node gives the attempt up, unless its endpoint or the network has ended it."""
+        if isinstance(error, ResponseTimeoutError):
+            self._engine.note_given_up(attempt, GiveUpReason.NO_RESPONSE)
+        elif not isinstance(error, ConnectionEndedError) and not isinstance(error.__cause__, OSError):
+            self._engine.note_given_up(attempt, GiveUpReason.INVALID_RESPONSE)
+
     async def _read_response(self, attempt: Attempt, connection: PooledConnection) -> Response:
         """Read the response; ResponseTimeoutError if none comes in time."""
         # A non-idempotent job can't be retried elsewhere anyway, so it waits for as long as its client does.
@@ -171,15 +184,16 @@
                 recheck_send_precondition(attempt, self._directory, endpoint)
                 await self._write_request(attempt, endpoint, connection)
                 in_flight.is_written = True
+                attempt.written_at = self._clock()
             except RequestNotSentError:
-                connection.close()
+                connection.close(CloseReason.BROKEN)
                 if must_connect or not connection.is_reused:
                     raise
                 # An idle connection that had gone stale: the request was not sent, so it may be sent again.
                 must_connect = True
                 continue
             except BaseException:
-                connection.close()
+                connection.close(CloseReason.GIVEN_UP)
                 raise
             return connection
 
--- a/burlmoor/upstream/connection.py
+++ b/burlmoor/upstream/connection.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from burlmoor.transport.stream import SocketStream
+from burlmoor.types.reasons import CloseReason
 from burlmoor.upstream.errors import BrokenResponseError, RequestNotSentError
 from burlmoor.upstream.http import HttpClientConnection, Response
 
@@ -15,8 +16,8 @@
     def return_connection(self, connection: PooledConnection) -> None:
         """Take back a connection that can carry another request."""
 
-    def on_connection_closed(self) -> None:
-        """Take note that one connection less is open."""
+    def on_connection_closed(self, reason: CloseReason) -> None:
+        """Take note that one connection less is open, and why."""
 
     def on_request_not_withdrawn(self, address: str) -> None:
         """Take note that a connection was closed whose unanswered request may still be delivered."""
@@ -66,8 +67,11 @@
         try:
             await self.write(method, path, [], b"")
             return await self.read()
+        except (RequestNotSentError, BrokenResponseError):
+            self.close(CloseReason.BROKEN)
+            raise
         except BaseException:
-            self.close()
+            self.close(CloseReason.GIVEN_UP)
             raise
 
     def release(self) -> None:
@@ -75,13 +79,13 @@
         if self._http.prepare_next_request():
             self._pool.return_connection(self)
         else:
-            self.close()
+            self.close(CloseReason.LAST_RESPONSE)
 
     def is_reusable(self) -> bool:
         """Whether the idle connection can carry another request."""
         return self._stream.is_idle_open()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection; repeated, it changes nothing.
 
         A request that has no complete response is withdrawn: what is not delivered yet never will be. Without
@@ -94,4 +98,4 @@
             elif not (self._resets_on_close or self._stream.set_reset_on_close(True)):
                 self._pool.on_request_not_withdrawn(self.address)
             self._stream.close()
-            self._pool.on_connection_closed()
+            self._pool.on_connection_closed(reason)
--- a/burlmoor/upstream/in_flight.py
+++ b/burlmoor/upstream/in_flight.py
@@ -7,9 +7,11 @@
 import trio
 
 from burlmoor.endpoints.directory import EndpointDirectory
+from burlmoor.engine.engine import Engine
 from burlmoor.engine.job import Attempt
-from burlmoor.invariants import Invariant, InvariantMonitor
+from burlmoor.invariants import Invariant
 from burlmoor.log import EventLogger
+from burlmoor.types.reasons import GiveUpReason
 
 # After an endpoint was notified to drain, until its unaccepted attempts are withdrawn. The drain rule gives
 # 0.25 s, of which a node may be held up for 0.15 s.
@@ -33,14 +35,14 @@
 
     def __init__(
         self,
+        engine: Engine,
         directory: EndpointDirectory,
         nursery: trio.Nursery,
-        invariants: InvariantMonitor,
         log: EventLogger,
     ) -> None:
+        self._engine = engine
         self._directory = directory
         self._nursery = nursery
-        self._invariants = invariants
         self._log = log
         self._by_attempt: dict[Attempt, InFlightAttempt] = {}
         directory.observe_liveness(self)
@@ -77,6 +79,7 @@
         if in_flight is None or in_flight.is_accepted or self._directory.find_live(attempt.endpoint):
             return
         in_flight.is_withdrawn = True
+        self._engine.note_given_up(attempt, GiveUpReason.ENDPOINT_NOT_LIVE)
         in_flight.scope.cancel()
         self._log(
             "attempt-withdrawn",
@@ -87,4 +90,6 @@
         )
         await trio.sleep(_WITHDRAWN_AFTER_SECONDS - _WITHDRAW_AFTER_SECONDS)
         if self._by_attempt.get(attempt) is in_flight:
-            self._invariants.record_violation(Invariant.WITHDRAW, id=attempt.job.id, target=attempt.endpoint)
+            self._engine.invariants.record_violation(
+                Invariant.WITHDRAW, id=attempt.job.id, target=attempt.endpoint
+            )
--- a/burlmoor/upstream/pool.py
+++ b/burlmoor/upstream/pool.py
@@ -4,9 +4,11 @@
 
 import trio
 
+from burlmoor.counters import CounterGroup, EventCounters
 from burlmoor.invariants import Invariant, InvariantMonitor
 from burlmoor.transport.sockets import DESCRIPTORS_EXHAUSTED, connect
 from burlmoor.transport.stream import SocketStream
+from burlmoor.types.reasons import CloseReason
 from burlmoor.upstream.connection import PooledConnection
 from burlmoor.upstream.errors import (
     BrokenResponseError,
@@ -39,6 +41,7 @@
         response_limit_bytes: int = _RESPONSE_LIMIT_BYTES,
         reuse_delay_seconds: float = 0.0,
         invariants: InvariantMonitor | None = None,
+        counters: EventCounters | None = None,
     ) -> None:
         self.idle_limit_seconds = idle_limit_seconds
         self._connect_timeout_seconds = connect_timeout_seconds
@@ -46,6 +49,7 @@
         self._response_limit_bytes = response_limit_bytes
         self._reuse_delay_seconds = reuse_delay_seconds
         self._invariants = invariants
+        self._counters = counters or EventCounters()
         self._idle: dict[str, list[PooledConnection]] = {}
         self._shortened_limit_seconds = idle_limit_seconds
         self._shortened_until = 0.0
@@ -89,11 +93,14 @@
                 continue
             idle.remove(connection)
             # What is written to a connection that its peer has closed would end as a reset.
-            if now - connection.idle_since < self._max_idle_seconds() and connection.is_reusable():
+            if now - connection.idle_since >= self._max_idle_seconds():
+                connection.close(CloseReason.IDLE)
+            elif not connection.is_reusable():
+                connection.close(CloseReason.PEER_CLOSED)
+            else:
                 connection.is_reused = True
                 connection.reused_at = now
                 return connection
-            connection.close()
         return None
 
     async def connect(self, address: str) -> PooledConnection:
@@ -144,9 +151,10 @@
         connection.idle_since = trio.current_time()
         self._idle.setdefault(connection.address, []).append(connection)
 
-    def on_connection_closed(self) -> None:
-        """Take note that one connection less is open."""
+    def on_connection_closed(self, reason: CloseReason) -> None:
+        """Take note that one connection less is open, and why."""
         self.open_count -= 1
+        self._counters.count(CounterGroup.ENDPOINT_CLOSES, reason.value)
 
     def on_request_not_withdrawn(self, address: str) -> None:
         """Take note that a connection was closed whose unanswered request may still be delivered."""
@@ -162,7 +170,7 @@
         if oldest is None:
             return False
         self._idle[oldest.address].remove(oldest)
-        oldest.close()
+        oldest.close(CloseReason.MADE_ROOM)
         return True
 
     def close_expired(self) -> None:
@@ -171,10 +179,12 @@
         for address, idle in list(self._idle.items()):
             remaining = []
             for connection in idle:
-                if connection.idle_since > expired_since and connection.is_reusable():
-                    remaining.append(connection)
+                if connection.idle_since <= expired_since:
+                    connection.close(CloseReason.IDLE)
+                elif not connection.is_reusable():
+                    connection.close(CloseReason.PEER_CLOSED)
                 else:
-                    connection.close()
+                    remaining.append(connection)
             if remaining:
                 self._idle[address] = remaining
             else:
@@ -183,4 +193,4 @@
     def close_idle_to(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
-            connection.close()
+            connection.close(CloseReason.ENDPOINT_CHANGED)
--- a/tests/engine/test_attempt_guard.py
+++ b/tests/engine/test_attempt_guard.py
@@ -19,7 +19,7 @@
 ) -> None:
     lines: list[dict[str, Any]] = []
     invariants = InvariantMonitor(lambda event, **fields: lines.append({"event": event, **fields}))
-    job = Job("a1", 1, cast(Any, None), None, 0.0, 1000.0, is_non_idempotent)
+    job = Job("a1", 1, cast(Any, None), "lookup", None, 0.0, 1000.0, is_non_idempotent)
     job.attempts.append(Attempt(job, 0, "e0", 0.0, 1000.0, outcome))
     guard = AttemptGuard(5, invariants)
     is_repeat = is_non_idempotent and job.may_have_run()
--- /dev/null
+++ b/tests/engine/test_job_log.py
@@ -0,0 +1,89 @@
+"""What the log says of jobs that did not go the plain way, and the counts by reason."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import GiveUpReason
+from tests.support.engine_harness import EngineHarness
+
+
+def job_lines(harness: EngineHarness) -> list[dict[str, Any]]:
+    return [fields for event, fields in harness.logged_lines if event == "job-ended"]
+
+
+def test_a_job_that_is_served_at_its_first_attempt_is_counted_and_not_logged() -> None:
+    harness = EngineHarness()
+    _, attempt = harness.submit_and_start()
+    harness.engine.on_attempt_ended(attempt, Outcome.SERVED, b"one")
+    assert job_lines(harness) == []
+    assert harness.engine.counters.totals() == {"jobs": {"served": 1}}
+
+
+def test_the_line_of_a_retried_job_has_every_state_change_of_its_attempts() -> None:
+    harness = EngineHarness()
+    _, first = harness.submit_and_start()
+    harness.engine.note_given_up(first, GiveUpReason.NO_RESPONSE)
+    harness.engine.on_attempt_ended(first, Outcome.RESET)
+    harness.advance(50.0)
+    second = harness.started_attempts[-1]
+    harness.engine.on_attempt_started(second)
+    harness.advance(5.0)
+    harness.engine.on_attempt_ended(second, Outcome.SERVED, b"two")
+    [line] = job_lines(harness)
+    assert (line["id"], line["job_class"], line["answer"], line["reason"]) == ("a1", "lookup", "served", None)
+    described_first, described_second = line["attempts"]
+    assert described_first["target"] == first.endpoint
+    assert (described_first["give_up"], described_first["outcome"]) == ("no-response", "reset")
+    assert described_first["given_up"] == described_first["ended"] == 60.0
+    assert described_second["outcome"] == "served"
+    assert described_first["ended"] <= described_second["selected"] <= described_second["started"]
+    assert described_second["ended"] == line["after_ms"]
+    totals = harness.engine.counters.totals()
+    assert totals == {"jobs": {"served": 1}, "retries": {"reset": 1}, "give-ups": {"no-response": 1}}
+
+
+@pytest.mark.parametrize(
+    ("job_class", "outcome", "answer", "reason"),
+    [
+        ("once", Outcome.RESET, "failed", "no-retry"),
+        ("lookup", None, "rejected", "not-started"),
+        ("once", None, "failed", "not-started"),
+    ],
+)
+def test_a_job_without_a_result_says_why(
+    job_class: str, outcome: Outcome | None, answer: str, reason: str
+) -> None:
+    harness = EngineHarness()
+    _, attempt = harness.submit_and_start(job_class, timeout_ms=900.0)
+    if outcome is not None:
+        harness.engine.on_attempt_ended(attempt, outcome)
+    harness.advance(5000.0)
+    [line] = job_lines(harness)
+    assert (line["answer"], line["reason"]) == (answer, reason)
+    assert harness.engine.counters.totals()["jobs"] == {f"{answer}: {reason}": 1}
+
+
+def test_a_client_that_leaves_is_the_reason_of_its_job_and_of_the_cancel() -> None:
+    harness = EngineHarness()
+    _, attempt = harness.submit_and_start()
+    harness.engine.on_client_disconnected(attempt.job)
+    harness.advance(10.0)
+    [line] = job_lines(harness)
+    assert (line["answer"], line["reason"]) == ("none", "client-disconnected")
+    assert line["attempts"][0]["give_up"] == "job-over"
+
+
+def test_changes_of_the_counts_are_taken_once() -> None:
+    harness = EngineHarness()
+    _, attempt = harness.submit_and_start()
+    harness.engine.on_attempt_ended(attempt, Outcome.SERVED, b"one")
+    counters = harness.engine.counters
+    assert counters.take_changes() == {"jobs": {"served": 1}}
+    assert counters.take_changes() == {}
+    _, attempt = harness.submit_and_start()
+    harness.engine.on_client_disconnected(attempt.job)
+    assert counters.take_changes() == {"jobs": {"none: client-disconnected": 1}}
--- a/tests/policy/test_safety_rules.py
+++ b/tests/policy/test_safety_rules.py
@@ -16,6 +16,7 @@
     TimerFired,
 )
 from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import GiveUpReason
 from burlmoor.types.settings import DeduplicationScope, Limits
 from tests.support.dispatcher_driver import KEYED, LIMITS, DispatcherDriver, entries, settings
 
@@ -169,7 +170,7 @@
     driver = DispatcherDriver(settings(limits=limits))
     send = driver.request_and_place(7, work_ms=2000.0)
     driver.run(300.0)
-    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0)]
+    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0, GiveUpReason.OVERDUE)]
     assert len(driver.actions_of(StartAttempt, 7)) == 1
     driver.end_attempt(send, Outcome.CANCELLED)
     driver.run(20.0)
@@ -183,7 +184,7 @@
     sends = driver.actions_of(StartAttempt, 7)
     assert len(sends) == 2
     driver.handle(AttemptStarted(7, 1, sends[1].endpoint))
-    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0)]
+    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0, GiveUpReason.SUPERSEDED)]
 
 
 def test_attempts_stay_within_the_limit() -> None:
--- a/tests/simulation/test_deployments.py
+++ b/tests/simulation/test_deployments.py
@@ -17,6 +17,7 @@
 from burlmoor.simulation.cluster_spec import CancelEffect, ClusterSpec, WeightSource
 from burlmoor.types.endpoint_list import ListKind
 from burlmoor.types.events import EndpointListUpdate
+from burlmoor.types.reasons import EndReason
 from burlmoor.types.settings import (
     DeduplicationScope,
     Idempotency,
@@ -220,9 +221,14 @@
     for node in cluster.nodes:
         assert node is not None
 
-        def answer(job: Job, answer: FinalAnswer, real: Any = node.core.answer_job) -> None:
+        def answer(
+            job: Job,
+            answer: FinalAnswer,
+            reason: EndReason | None = None,
+            real: Any = node.core.answer_job,
+        ) -> None:
             if job.number % 50:
-                real(job, answer)
+                real(job, answer, reason)
 
         node.core.answer_job = answer  # type: ignore[method-assign]
 
--- a/tests/support/engine_harness.py
+++ b/tests/support/engine_harness.py
@@ -31,7 +31,7 @@
 
     def __init__(self, **settings_changes: Any) -> None:
         self.now = 1000.0
-        self.logged_events: list[str] = []
+        self.logged_lines: list[tuple[str, dict[str, Any]]] = []
         self.started_attempts: list[Attempt] = []
         self.cancelled_attempts: list[Attempt] = []
         self.wake_count = 0
@@ -40,8 +40,12 @@
         self.engine.on_endpoint_list(ListKind.CACHED, entries(4))
         self.engine.step()
 
-    def log(self, event: str, **_fields: Any) -> None:
-        self.logged_events.append(event)
+    def log(self, event: str, **fields: Any) -> None:
+        self.logged_lines.append((event, fields))
+
+    @property
+    def logged_events(self) -> list[str]:
+        return [event for event, _ in self.logged_lines]
 
     def wake(self) -> None:
         self.wake_count += 1
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -26,7 +26,7 @@
     ("endpoints",),
     ("stats",),
     ("membership", "transport", "types"),
-    ("invariants",),
+    ("invariants", "counters"),
     ("clock", "log"),
     ("errors",),
 )
--- a/tests/upstream/test_send_precondition.py
+++ b/tests/upstream/test_send_precondition.py
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         self.directory = EndpointDirectory(Peers(), Peers(), lambda unix_ms: unix_ms, print)
         self.publish("active")
-        self.job = Job("a1", 1, cast(Any, None), None, 0.0, 1000.0, False)
+        self.job = Job("a1", 1, cast(Any, None), "lookup", None, 0.0, 1000.0, False)
         self.attempt = Attempt(self.job, 0, "e0", 0.0, 1000.0)
 
     def publish(self, health: str, started_unix_ms: float = 1.0) -> None:
