--- a/burlmoor/testbed/clients.py
+++ b/burlmoor/testbed/clients.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
-import socket
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -75,7 +73,7 @@
         while self._idle:
             stream, since_ms = self._idle.pop()
             is_fresh = now_ms() - since_ms < _MAX_IDLE_SECONDS * 1000.0
-            if self._may_resend or (is_fresh and not _is_closed_by_peer(stream)):
+            if self._may_resend or (is_fresh and not stream.has_peer_ended()):
                 return stream
             stream.close()
         return None
@@ -154,14 +152,3 @@
     request.answer_count += 1
     with suppress(ValueError):
         request.retry_after_ms = float(answer.headers.get("retry-after", "0")) * 1000.0
-
-
-def _is_closed_by_peer(stream: HttpStream) -> bool:
-    """Whether the peer has closed a connection on which nothing is expected."""
-    with socket.socket(fileno=os.dup(stream.socket_stream.socket.fileno())) as sock:
-        try:
-            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
--- a/burlmoor/testbed/event_record.py
+++ b/burlmoor/testbed/event_record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import NamedTuple
@@ -68,6 +69,14 @@
     node: str = ""  # the sender
     work_ms: float = msgspec.field(name="work", default=0.0)  # on one core of speed 1, for each slot
     slots: int = 1
+    # When its executor heard that the node had given it up: by DELETE, or by a close before the 202.
+    given_up_ms: float | None = msgspec.field(name="given_up", default=None)
+
+    def is_out(self, at_ms: float) -> bool:
+        """Whether it had been received by then, and had neither ended nor been given up."""
+        if at_ms < self.received_ms:
+            return False
+        return all(over is None or over > at_ms for over in (self.ended_ms, self.given_up_ms))
 
 
 class ClosingPeriod(NamedTuple):
@@ -104,6 +113,10 @@
             if len(attempts) > 1 and attempts[0].job_class in non_idempotent_classes
         ]
 
+    def find_simultaneous(self, most_at_once: int) -> list[str]:
+        """Return the ids of requests of which an executor received more attempts than may be out at once."""
+        return find_simultaneous(self.attempts, most_at_once)
+
     def find_unanswered(self) -> list[RequestRecord]:
         """Return the requests whose client stayed connected and received no answer."""
         return [
@@ -148,6 +161,19 @@
         ]
 
 
+def find_simultaneous(attempts: Iterable[AttemptRecord], most_at_once: int) -> list[str]:
+    """Return the ids of requests with more attempts out at once than that, one for each too many."""
+    by_id: dict[str, list[AttemptRecord]] = {}
+    for attempt in attempts:
+        by_id.setdefault(attempt.id, []).append(attempt)
+    return [
+        request_id
+        for request_id, of_request in by_id.items()
+        for attempt in of_request
+        if sum(other.is_out(attempt.received_ms) for other in of_request) > most_at_once
+    ]
+
+
 class AnyRequestId(dict[str, RequestRecord]):
     """Requests of an event record whose clients are in another process: any id may be one of theirs."""
 
--- a/burlmoor/testbed/executor.py
+++ b/burlmoor/testbed/executor.py
@@ -160,6 +160,10 @@
             work_ms=parameters["work"], slots=int(parameters.get("slots", 1)),
         )  # fmt: skip
         self._event_record.attempts.append(attempt)
+        if stream.has_peer_ended():
+            # Found by an executor that stood still, when it goes on: a close before the 202 gives the job up.
+            _note_given_up(attempt)
+            return False
         fault = self._take_fault()
         if fault in ("reset", "hang", "error"):
             return await _cause_fault(fault, attempt, stream)
@@ -186,10 +190,15 @@
         return True
 
     def _cancel(self, job: str) -> None:
+        """Take note that a node gives a job up: what is queued is dropped, what runs goes on."""
+        assigned = self._assigned_jobs.get(job)
+        if assigned is None:
+            return
+        _note_given_up(assigned.attempt)
         if self.model.drop_queued(now_ms(), job):
-            attempt = self._assigned_jobs.pop(job).attempt
-            attempt.outcome = "given up"
-            attempt.ended_ms = now_ms()
+            del self._assigned_jobs[job]
+            assigned.attempt.outcome = "given up"
+            assigned.attempt.ended_ms = now_ms()
 
     # --- work and call-backs --------------------------------------------------------------------
 
@@ -225,10 +234,18 @@
         self._callbacks.send(assigned.node, event)
 
 
+def _note_given_up(attempt: AttemptRecord) -> None:
+    if attempt.given_up_ms is None:
+        attempt.given_up_ms = now_ms()
+
+
 async def _cause_fault(fault: str, attempt: AttemptRecord, stream: HttpStream) -> bool:
     """Answer a request with a fault; false where the connection is not used any more."""
     if fault == "hang":
-        await trio.sleep_forever()
+        while await stream.read() is not None:
+            pass
+        _note_given_up(attempt)
+        return False
     # Also before a reset: the job may have run, and a second attempt must count as a repetition.
     attempt.started_ms = now_ms()
     if fault == "reset":
--- a/burlmoor/testbed/http_stream.py
+++ b/burlmoor/testbed/http_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -79,6 +80,16 @@
         head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         await self.socket_stream.send_all(f"{start_line}\r\n{head}\r\n".encode() + body)
 
+    def has_peer_ended(self) -> bool:
+        """Whether the peer has closed or reset the connection, and nothing that it wrote is unread."""
+        with socket.socket(fileno=os.dup(self.socket_stream.socket.fileno())) as sock:
+            try:
+                return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+
     def close(self) -> None:
         """Close the connection."""
         self.socket_stream.socket.close()
--- a/burlmoor/testbed/local_cluster.py
+++ b/burlmoor/testbed/local_cluster.py
@@ -18,6 +18,7 @@
 from burlmoor.testbed.job_classes import JobClass, platform_settings
 from burlmoor.testbed.network_link import NetworkLink
 from burlmoor.testbed.node_process import NodeProcess
+from burlmoor.transport.address import parse_address
 
 _DRAIN_SECONDS = 0.1  # from the announcement until an executor that drains returns its queued jobs
 
@@ -80,13 +81,15 @@
         self.settings = platform_settings(nodes=nodes)
         self._discovery_addresses: dict[str, str] = {}  # by node
         self._discovery_links: dict[str, NetworkLink] = {}  # by node
+        self._callback_links: dict[str, NetworkLink] = {}  # by node, from all executors
 
     async def start(self) -> None:
         """Open every stand-in, then start the nodes and wait until all are ready."""
         for node in self.nodes:
             addresses = {}
+            callback_address = await self._open_callback_address(node)
             for name, executor in self.executors.items():
-                addresses[name] = await executor.listen_for_node(node.name, node.address)
+                addresses[name] = await executor.listen_for_node(node.name, callback_address)
                 if self._has_links:
                     link = self._links[node.name, name] = NetworkLink(addresses[name], self.nursery)
                     addresses[name] = await link.open()
@@ -102,6 +105,14 @@
                 starting.start_soon(self.start_node, node)
         self.clients = [ClientPool(node.address, self.event_record) for node in self.nodes]
 
+    async def _open_callback_address(self, node: NodeProcess) -> tuple[str, int]:
+        """Return where executors reach a node with call-backs."""
+        if not self._has_links:
+            return node.address
+        host, port = node.address
+        link = self._callback_links[node.name] = NetworkLink(f"{host}:{port}", self.nursery)
+        return parse_address(await link.open())
+
     async def start_node(self, node: NodeProcess, known_list: dict[str, Any] | None = None) -> None:
         """Start one node's process, for the first time or again; by default with the list as it is now."""
         if known_list is None:
@@ -120,6 +131,14 @@
         links = [link for (name, _), link in self._links.items() if name == node]
         return [*links, self._discovery_links[node]]
 
+    def executor_links(self) -> list[NetworkLink]:
+        """Return the links from all nodes to all executors."""
+        return list(self._links.values())
+
+    def callback_links(self) -> list[NetworkLink]:
+        """Return the links on which executors reach the nodes with call-backs."""
+        return list(self._callback_links.values())
+
     def discovery_link_of(self, node: str) -> NetworkLink:
         """Return the link from one node to discovery."""
         return self._discovery_links[node]
