End an attempt that is given up only once its endpoint is known not to hold the job

Its 202 could be on its way, so the executor ran the job while it was sent to another one. The same for responses later than 0.45 s, invalid ones, endpoints that drain, internal errors, and, where hedging is on, a third attempt beside two. Change: one way to give up (AttemptController.give_up): the connection is reset in that moment; what was written also gets a DELETE, repeated until it is answered; until then the attempt stays open and counts (policy, engine guard, new run-time invariant 'simultaneous'); its result still serves the job. No DELETE where settings bar it. A job that is answered early by a shutdown sends nothing in that step.

--- a/burlmoor/endpoints/outcomes.py
+++ b/burlmoor/endpoints/outcomes.py
@@ -52,13 +52,19 @@
             endpoint.last_heard_at = now
             self._outliers.record_success(endpoint)
             self._record_served(job, attempt, elapsed_ms, now)
-        elif attempt.outcome in FAULTS:
-            self._outliers.record_fault(endpoint, now)
-            measured.record_attempt_end(endpoint, False, now)
         elif attempt.outcome is Outcome.OVERLOADED:
             measured.record_overload(endpoint, now)
             self._recently_freed.discard(endpoint)
-        elif attempt.outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
+        elif attempt.outcome is not None and not attempt.is_given_up:
+            self.record_fault(attempt, attempt.outcome, now)
+
+    def record_fault(self, attempt: ScheduledAttempt, outcome: Outcome, now: float) -> None:
+        """Record what an outcome says against the endpoint; once for each attempt, at the first sign."""
+        endpoint = attempt.endpoint
+        if outcome in FAULTS:
+            self._outliers.record_fault(endpoint, now)
+            self._statistics.endpoints.record_attempt_end(endpoint, False, now)
+        elif outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
             is_silent = endpoint.last_heard_at < attempt.sent_at
             if is_silent and now - attempt.sent_at > MIN_SILENT_MS:
                 self._outliers.record_fault(endpoint, now)
--- a/burlmoor/engine/attempt_controller.py
+++ b/burlmoor/engine/attempt_controller.py
@@ -12,10 +12,9 @@
 from burlmoor.engine.job_registry import JobRegistry
 from burlmoor.engine.policy_driver import PolicyDriver
 from burlmoor.types.actions import CancelAttempt, StartAttempt
-from burlmoor.types.events import AttemptEnded, AttemptProgressed, AttemptStarted
+from burlmoor.types.events import AttemptEnded, AttemptGivenUp, AttemptProgressed, AttemptStarted
 from burlmoor.types.outcome import Outcome
 from burlmoor.types.reasons import GiveUpReason
-from burlmoor.types.settings import Limits
 
 
 class AttemptController:
@@ -28,7 +27,6 @@
         policy: PolicyDriver,
         answerer: JobAnswerer,
         upstream: Upstream,
-        limits: Limits,
         guard: AttemptGuard,
         clock: Callable[[], float],
     ) -> None:
@@ -37,7 +35,6 @@
         self._policy = policy
         self._answerer = answerer
         self._upstream = upstream
-        self._limits = limits
         self._guard = guard
         self._clock = clock
         self._job_log = jobs.job_log
@@ -64,18 +61,42 @@
     def cancel(self, action: CancelAttempt, now: float) -> None:
         """Cancel an attempt as the policy asks."""
         job = self._jobs.find_by_number(action.id)
-        if job is None or not 0 <= action.attempt < len(job.attempts):
-            return
-        attempt = job.attempts[action.attempt]
+        if job is not None and 0 <= action.attempt < len(job.attempts):
+            reason = action.reason or GiveUpReason.JOB_OVER
+            self.give_up(job.attempts[action.attempt], Outcome.CANCELLED, reason, now)
+
+    def give_up(self, attempt: Attempt, outcome: Outcome, reason: GiveUpReason, now: float) -> None:
+        """Give an attempt up; it ends once its endpoint is known not to hold the job any more.
+
+        Without the wait, the job could be sent again while the first endpoint runs it: it may have accepted
+        the job just before it hears of this, and one that cannot be reached never hears of it.
+        """
         if attempt.has_ended:
             return
-        self._job_log.on_attempt_given_up(attempt, action.reason or GiveUpReason.JOB_OVER, now)
-        if job.is_closed or self._limits.may_hedge:
-            self.end(attempt, Outcome.CANCELLED)
-        # Otherwise the attempt ends only once the endpoint has confirmed. Without this, the job could be
-        # sent again while it still runs there: an endpoint that can't be reached never sees the cancel.
+        is_first = not attempt.is_given_up
+        if is_first:
+            attempt.given_up_as = outcome
+            self._job_log.on_attempt_given_up(attempt, reason, now)
+        job = attempt.job
+        if job.is_closed or job.is_non_idempotent:
+            self._end_given_up(attempt)  # it is not sent again in any case
+        elif is_first:
+            self._policy.post(AttemptGivenUp(job.number, attempt.number, attempt.endpoint, outcome))
         self._upstream.cancel_attempt(attempt)
 
+    def _end_given_up(self, attempt: Attempt) -> None:
+        if attempt.given_up_as is not None:
+            self.end(attempt, attempt.given_up_as)
+
+    def on_job_closed(self, job: Job) -> None:
+        """End the attempts that are given up: their job is not sent again."""
+        for attempt in job.open_attempts():
+            self._end_given_up(attempt)
+
+    def on_cancelled(self, attempt: Attempt) -> None:
+        """Note that the endpoint can't hold the job any more."""
+        self.end(attempt, attempt.given_up_as or Outcome.CANCELLED)
+
     def expire(self, now: float) -> list[Job]:
         """Time out the attempts that are due, and all attempts of the jobs that are due.
 
@@ -86,6 +107,8 @@
             if isinstance(item, Attempt):
                 self._time_out(item, now)
             elif not item.is_closed:
+                # What is cancelled here may still be out: nothing is sent for the job from now on.
+                item.deadline = min(item.deadline, now)
                 for attempt in item.open_attempts():
                     self._time_out(attempt, now)
                 expired_jobs.append(item)
@@ -94,14 +117,16 @@
     def _time_out(self, attempt: Attempt, now: float) -> None:
         if attempt.has_ended:
             return
+        if now < attempt.job.deadline:
+            self.give_up(attempt, Outcome.TIMEOUT, GiveUpReason.OUT_OF_TIME, now)
+            return
         self._job_log.on_attempt_given_up(attempt, GiveUpReason.OUT_OF_TIME, now)
         self.end(attempt, Outcome.TIMEOUT)
-        # Without this, the job could be sent again while it still runs at this endpoint.
         self._upstream.cancel_attempt(attempt)
 
     def report_started(self, attempt: Attempt) -> None:
         """Report to the policy that the endpoint has begun to run the job."""
-        if attempt.has_ended:
+        if attempt.is_over:
             return
         if attempt.started_at is None:
             attempt.started_at = self._clock()
@@ -109,7 +134,7 @@
 
     def report_progress(self, attempt: Attempt, fraction: float) -> None:
         """Report to the policy that the endpoint has done this fraction, from 0 to 1, of the job."""
-        if not attempt.has_ended:
+        if not attempt.is_over:
             self._policy.post(
                 AttemptProgressed(attempt.job.number, attempt.number, attempt.endpoint, fraction)
             )
--- a/burlmoor/engine/attempt_guard.py
+++ b/burlmoor/engine/attempt_guard.py
@@ -7,13 +7,15 @@
 
 from burlmoor.engine.job import Attempt, Job
 from burlmoor.invariants import Invariant, InvariantMonitor
+from burlmoor.types.settings import Limits
 
 
 class AttemptGuard:
     """Refuses attempts that would break a rule, whatever the policy has asked for."""
 
-    def __init__(self, max_attempts: int, invariants: InvariantMonitor) -> None:
-        self._max_attempts = max_attempts
+    def __init__(self, limits: Limits, invariants: InvariantMonitor) -> None:
+        self._max_attempts = limits.max_attempts
+        self._max_open_attempts = limits.max_open_attempts
         self._invariants = invariants
 
     def may_start(self, job: Job, attempt: Attempt, now: float) -> bool:
@@ -24,9 +26,15 @@
         if any(earlier.endpoint == attempt.endpoint for earlier in job.attempts):
             return False
         if job.is_non_idempotent and job.may_have_run():
-            # The policy must not ask for this (`policy/safety.py`).
-            self._invariants.record_violation(
-                Invariant.REPEAT, id=job.id, target=attempt.endpoint, attempt=attempt.number
-            )
+            self._record_violation(Invariant.REPEAT, attempt)
+            return False
+        if len(job.open_attempts()) >= self._max_open_attempts:
+            self._record_violation(Invariant.SIMULTANEOUS, attempt)
             return False
         return True
+
+    def _record_violation(self, invariant: Invariant, attempt: Attempt) -> None:
+        """Count what the policy must not ask for (`policy/safety.py`)."""
+        self._invariants.record_violation(
+            invariant, id=attempt.job.id, target=attempt.endpoint, attempt=attempt.number
+        )
--- a/burlmoor/engine/engine.py
+++ b/burlmoor/engine/engine.py
@@ -80,14 +80,13 @@
         """Connect the parts that carry out what concerns executors and the endpoint list."""
         driver = self._policy_driver
         limits = self.settings.limits
-        guard = AttemptGuard(limits.max_attempts, self.invariants)
+        guard = AttemptGuard(limits, self.invariants)
         self._attempts = AttemptController(
             self.jobs,
             self._deadlines,
             driver,
             self,
             upstream,
-            limits,
             guard,
             self.clock,
         )
@@ -132,6 +131,7 @@
         self.answer_by = at
         for job in self.jobs:
             if not job.is_closed and job.deadline > at:
+                job.deadline = at
                 self._deadlines.schedule(at, job)
         self.wake()
 
@@ -193,6 +193,7 @@
     def _close(self, job: Job, answer: FinalAnswer | None, reason: EndReason | None) -> None:
         job.is_closed = True
         self._job_log.on_job_closed(job, answer, reason, self.clock())
+        self._attempts.on_job_closed(job)
         self._deferral.on_job_closed(job, answer)
 
     def _report_closed(self, job: Job) -> None:
@@ -217,13 +218,13 @@
         """Note how an attempt ended; for one that has ended already this changes nothing."""
         self._attempts.end(attempt, outcome, result)
 
-    def note_given_up(self, attempt: Attempt, reason: GiveUpReason) -> None:
-        """Note why upstream has given up an attempt, for the log."""
-        self._job_log.on_attempt_given_up(attempt, reason, self.clock())
+    def give_up_attempt(self, attempt: Attempt, outcome: Outcome, reason: GiveUpReason) -> None:
+        """Give up an attempt that upstream cannot go on with; upstream is asked to cancel it."""
+        self._attempts.give_up(attempt, outcome, reason, self.clock())
 
     def on_attempt_cancelled(self, attempt: Attempt) -> None:
         """Note that the endpoint has confirmed the cancel, or can't hold the job any more."""
-        self._attempts.end(attempt, Outcome.CANCELLED)
+        self._attempts.on_cancelled(attempt)
 
     def on_endpoint_list(self, kind: ListKind, entries: Iterable[EndpointEntry]) -> None:
         """Pass an update of the endpoint list to the policy."""
--- a/burlmoor/engine/interfaces.py
+++ b/burlmoor/engine/interfaces.py
@@ -25,7 +25,10 @@
         """Start the attempt; its end is reported to `Engine.on_attempt_ended`."""
 
     def cancel_attempt(self, attempt: Attempt) -> None:
-        """Cancel the attempt at its endpoint; `Engine.on_attempt_cancelled` is called once that is done."""
+        """Cancel the attempt at its endpoint.
+
+        `Engine.on_attempt_cancelled` is called once the endpoint is known not to hold the job any more.
+        """
 
     def check_health(self, endpoint: str) -> None:
         """Start a health check; the result is reported to `Engine.on_health_checked`."""
--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -21,6 +21,8 @@
     sent_at: float
     deadline: float
     outcome: Outcome | None = None  # None until the attempt has ended
+    given_up_as: Outcome | None = None  # the outcome once its endpoint is known not to hold the job
+    address: str = ""  # where upstream has sent it
     written_at: float | None = None  # the last byte of its request
     accepted_at: float | None = None  # the endpoint's 202
     started_at: float | None = None  # the endpoint has reported that the job runs
@@ -33,6 +35,16 @@
         """Whether the attempt has ended."""
         return self.outcome is not None
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether the node has given it up; its endpoint may hold the job until it has ended."""
+        return self.given_up_as is not None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more is to be done for it but to cancel it."""
+        return self.has_ended or self.is_given_up
+
 
 @dataclass(slots=True, eq=False)
 class Job:
--- a/burlmoor/invariants.py
+++ b/burlmoor/invariants.py
@@ -18,6 +18,7 @@
     SEND = "send"  # a request is written only to an endpoint that is live, and to its present process
     WITHDRAW = "withdraw"  # no unaccepted request stays at an endpoint that is not live any more
     REPEAT = "repeat"  # a non-idempotent job that may have run is not sent again
+    SIMULTANEOUS = "simultaneous"  # no more attempts of a job are out at a time than settings allow
     START = "start"  # nothing is written for a job that is closed
     CLOSE = "close"  # a connection with an unanswered request is closed by a reset
 
--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -69,7 +69,7 @@
         server = self._parts.server
         return bool(
             self._parts.engine.open_job_count
-            or self._attempts.pending_cancels
+            or self._attempts.open_cancel_calls
             or server.has_unsent
             or server.has_partial_requests
             or self._handover.has_unsent
--- a/burlmoor/policy/retries.py
+++ b/burlmoor/policy/retries.py
@@ -7,6 +7,7 @@
 from burlmoor.policy.dispatch_rounds import DispatchRounds
 from burlmoor.stats.endpoint_statistics import EVIDENCE_HALF_LIFE_MS
 from burlmoor.stats.job import ScheduledAttempt, ScheduledJob
+from burlmoor.types.outcome import Outcome
 from burlmoor.types.reasons import EndReason, GiveUpReason
 from burlmoor.types.settings import Idempotency
 
@@ -38,7 +39,7 @@
             self._context.jobs.abandon(job, EndReason.NOT_STARTED)
             return
         for attempt in job.pending_attempts():
-            if now >= attempt.check_at:
+            if now >= attempt.check_at and not attempt.is_given_up:
                 self._check_attempt(job, attempt, now)
         self._sender.schedule_next_check(job, now)
 
@@ -87,6 +88,18 @@
         elif len(job.pending_attempts()) == 1:
             self._rounds.enqueue(job, now, RETRY_TICKS)
 
+    def hedge_given_up(self, job: ScheduledJob, outcome: Outcome, now: float) -> None:
+        """Queue a job again whose only attempt was given up, where a second one may be out beside it.
+
+        Where that is not allowed, the job waits until the attempt has ended.
+        """
+        is_hedged = any(not attempt.is_given_up for attempt in job.pending_attempts())
+        if job.is_closed or job.is_queued or is_hedged or outcome is Outcome.TIMEOUT:
+            return
+        if now < job.useful_until and self._context.safety.may_send(job, job.attempts[-1].endpoint, now):
+            job.rounds_waited += 1
+            self._rounds.enqueue(job, now, RETRY_TICKS)
+
     def retry_or_abandon(self, job: ScheduledJob, now: float) -> None:
         """Queue a job whose attempt brought no answer again where that is safe, else end it."""
         if job.pending_attempts() or job.is_queued:
--- a/burlmoor/policy/safety.py
+++ b/burlmoor/policy/safety.py
@@ -30,7 +30,7 @@
         idempotency = job.job_class.idempotency
         if not possibly_run or idempotency is Idempotency.NON_IDEMPOTENT:
             return not possibly_run
-        if len(job.pending_attempts()) > (1 if self._limits.may_hedge else 0):
+        if len(job.pending_attempts()) >= self._limits.max_open_attempts:
             return False
         if idempotency is Idempotency.IDEMPOTENT:
             return True
--- a/burlmoor/stats/job.py
+++ b/burlmoor/stats/job.py
@@ -22,6 +22,7 @@
     check_at: float  # something should have been heard of it by then
     started_at: float | None = None
     outcome: Outcome | None = None
+    is_given_up: bool = False  # by the node; pending until its endpoint is known not to hold the job
     is_overdue: bool = False
 
     def clear_overdue(self) -> None:
--- a/burlmoor/testbed/event_record.py
+++ b/burlmoor/testbed/event_record.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 
 class RequestRecord(msgspec.Struct):
@@ -70,13 +71,14 @@
     work_ms: float = msgspec.field(name="work", default=0.0)  # on one core of speed 1, for each slot
     slots: int = 1
     # When its executor heard that the node had given it up: by DELETE, or by a close before the 202.
-    given_up_ms: float | None = msgspec.field(name="given_up", default=None)
+    given_up_ms: float | UnsetType = msgspec.field(name="given_up", default=UNSET)
 
     def is_out(self, at_ms: float) -> bool:
         """Whether it had been received by then, and had neither ended nor been given up."""
         if at_ms < self.received_ms:
             return False
-        return all(over is None or over > at_ms for over in (self.ended_ms, self.given_up_ms))
+        has_ended = self.ended_ms is not None and self.ended_ms <= at_ms
+        return not has_ended and (self.given_up_ms is UNSET or self.given_up_ms > at_ms)
 
 
 class ClosingPeriod(NamedTuple):
--- a/burlmoor/testbed/executor.py
+++ b/burlmoor/testbed/executor.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 import trio
+from msgspec import UNSET
 
 from burlmoor.testbed.clock import now_ms, unix_now_ms
 from burlmoor.testbed.event_record import AttemptRecord, EventRecord
@@ -235,7 +236,7 @@
 
 
 def _note_given_up(attempt: AttemptRecord) -> None:
-    if attempt.given_up_ms is None:
+    if attempt.given_up_ms is UNSET:
         attempt.given_up_ms = now_ms()
 
 
--- a/burlmoor/testbed/network_link.py
+++ b/burlmoor/testbed/network_link.py
@@ -19,7 +19,9 @@
 from burlmoor.transport.address import parse_address
 
 _CHUNK_BYTES = 65_536
-_GARBLED = b"?"  # takes the place of each byte
+_LINE_ENDS = b"\r\n"
+# Each byte of a garbled direction by what arrives in its place: lines stay lines, and say nothing.
+_GARBLING_TABLE = bytes(byte if byte in _LINE_ENDS else ord("?") for byte in range(256))
 
 
 @dataclass
@@ -137,7 +139,7 @@
                     data = b""
                     self._was_reset = True
                 if self._conditions.is_garbled:
-                    data = _GARBLED * len(data)
+                    data = data.translate(_GARBLING_TABLE)
                 arrives_at = max(trio.current_time(), up_at) + self._conditions.delay_seconds
                 await sender.send(_Arrival(arrives_at, data))
 
--- a/burlmoor/types/events.py
+++ b/burlmoor/types/events.py
@@ -57,6 +57,15 @@
     endpoint: str
 
 
+class AttemptGivenUp(NamedTuple):
+    """The node has given an attempt up, which ends only once its endpoint is known not to hold the job."""
+
+    id: int
+    attempt: int
+    endpoint: str
+    outcome: Outcome  # with which it will end, unless the endpoint reports another one before
+
+
 class AttemptEnded(NamedTuple):
     """How an attempt ended; each attempt that the policy starts ends exactly once."""
 
@@ -107,6 +116,7 @@
     | AttemptStarted
     | AttemptProgressed
     | ResponseStarted
+    | AttemptGivenUp
     | AttemptEnded
     | ClientDisconnected
     | HealthChecked
--- a/burlmoor/types/settings.py
+++ b/burlmoor/types/settings.py
@@ -71,6 +71,11 @@
     max_retry_after_ms: float = 1000.0  # the longest that clients follow
     connect_timeout_ms: float = 250.0
 
+    @property
+    def max_open_attempts(self) -> int:
+        """How many attempts of one job may be out at a time."""
+        return 2 if self.may_hedge else 1
+
 
 @dataclass(frozen=True, slots=True)
 class Rules:
--- a/burlmoor/upstream/attempts.py
+++ b/burlmoor/upstream/attempts.py
@@ -16,6 +16,7 @@
 from burlmoor.log import EventLogger
 from burlmoor.types.outcome import Outcome
 from burlmoor.types.reasons import CloseReason, GiveUpReason
+from burlmoor.upstream.cancellation import AttemptCanceller
 from burlmoor.upstream.connection import PooledConnection
 from burlmoor.upstream.errors import (
     BrokenResponseError,
@@ -37,7 +38,6 @@
 
 # Seconds in which an endpoint accepts or rejects an attempt: measured 0.3 at most, where it paused meanwhile.
 _ACCEPT_TIMEOUT_SECONDS = 0.45
-_CANCEL_TIMEOUT_SECONDS = 2.0  # of a DELETE
 
 
 class RequestPayload(Protocol):
@@ -61,7 +61,7 @@
 
 
 class AttemptRunner:
-    """Owns every attempt that waits for its 202, and the DELETE calls that cancel attempts.
+    """Owns every attempt that waits for its 202.
 
     Each attempt runs as a task of `nursery`. `clock` gives ms.
     """
@@ -83,13 +83,18 @@
         self._log = log
         self._health_checker = HealthChecker(engine, directory, pool, clock, log)
         self._in_flight = InFlightAttempts(engine, directory, nursery, log)
-        self.pending_cancels = 0  # DELETE calls in flight
+        self._canceller = AttemptCanceller(engine, pool, nursery, log)
 
     @property
     def in_flight(self) -> int:
         """How many attempts wait for their 202."""
         return len(self._in_flight)
 
+    @property
+    def open_cancel_calls(self) -> int:
+        """How many DELETE calls wait for their response."""
+        return self._canceller.open_calls
+
     # --- what the engine requires -----------------------------------------------------------------
 
     def start_attempt(self, attempt: Attempt) -> None:
@@ -97,14 +102,20 @@
         self._nursery.start_soon(self._run, attempt, self._in_flight.add(attempt))
 
     def cancel_attempt(self, attempt: Attempt) -> None:
-        """Cancel the attempt: by closing its connection before the 202, by a DELETE after it."""
+        """Cancel the attempt: by closing its connection before the 202, and by a DELETE.
+
+        Before the 202 the close is not enough, since the 202 may be on its way and the job run; nor is the
+        DELETE, since the request may be on its way. A job that is over needs only one of the two.
+        """
         in_flight = self._in_flight.find(attempt)
-        if in_flight is not None and not in_flight.is_accepted:
-            in_flight.scope.cancel()
+        if in_flight is None:
+            self._canceller.cancel(attempt)
+            return
+        in_flight.abort()
+        if not in_flight.is_written:
             self._engine.on_attempt_cancelled(attempt)
-        else:
-            self.pending_cancels += 1
-            self._nursery.start_soon(self._send_cancel, attempt)
+        elif not attempt.has_ended:
+            self._canceller.cancel(attempt)
 
     def check_health(self, endpoint: str) -> None:
         """Start a health check of an endpoint; the engine learns the outcome."""
@@ -116,23 +127,22 @@
         try:
             with in_flight.scope:
                 outcome = await self._exchange(attempt, in_flight)
-                if outcome is not None:
+                # What is given up ends by the endpoint's word, not by the error of its aborted connection.
+                if outcome is not None and not attempt.is_over:
                     self._engine.on_attempt_ended(attempt, outcome)
-            if in_flight.is_withdrawn and in_flight.scope.cancelled_caught:
-                # A request of which not all was written has not run.
-                outcome = Outcome.RESET if in_flight.is_written else Outcome.UNREACHABLE
-                self._engine.on_attempt_ended(attempt, outcome)
         except Exception as error:  # noqa: BLE001
             # The boundary of the attempt's task: without this, an error in one attempt would end the node.
             # Whether the job has run is not known.
             self._log("attempt-error", target=attempt.endpoint, error=repr(error))
-            self._engine.note_given_up(attempt, GiveUpReason.INTERNAL_ERROR)
-            self._engine.on_attempt_ended(attempt, Outcome.RESET)
+            self._engine.give_up_attempt(attempt, Outcome.RESET, GiveUpReason.INTERNAL_ERROR)
         finally:
             self._in_flight.remove(attempt)
 
     async def _exchange(self, attempt: Attempt, in_flight: InFlightAttempt) -> Outcome | None:
-        """Send the request and read the response; the outcome, or None if the endpoint accepts the job."""
+        """Send the request and read the response.
+
+        Returns the outcome; None if the endpoint accepts the job, or if the attempt was given up.
+        """
         try:
             connection = await self._send_request(attempt, in_flight)
         except SendPreconditionError:
@@ -142,25 +152,31 @@
         try:
             response = await self._read_response(attempt, connection)
         except BrokenResponseError as error:
+            if attempt.is_over:
+                return None  # its connection was closed here
             self._pool.on_connection_broken(connection)
-            self._note_broken_response(attempt, error)
             connection.close(CloseReason.BROKEN)
-            return Outcome.RESET
+            return self._outcome_of_broken_response(attempt, error)
         except BaseException:
             connection.close(CloseReason.GIVEN_UP)
             raise
-        in_flight.is_accepted = response.status == STATUS_ACCEPTED
-        if in_flight.is_accepted:
-            attempt.accepted_at = self._clock()
         connection.release()
-        return None if in_flight.is_accepted else outcome_of(response)
+        if response.status != STATUS_ACCEPTED:
+            return outcome_of(response)
+        attempt.accepted_at = self._clock()
+        return None
+
+    def _outcome_of_broken_response(self, attempt: Attempt, error: BrokenResponseError) -> Outcome | None:
+        """Return the outcome if the endpoint or the network has ended the exchange; else give the attempt up.
 
-    def _note_broken_response(self, attempt: Attempt, error: BrokenResponseError) -> None:
-        """Note why the node gives the attempt up, unless its endpoint or the network has ended it."""
-        if isinstance(error, ResponseTimeoutError):
-            self._engine.note_given_up(attempt, GiveUpReason.NO_RESPONSE)
-        elif not isinstance(error, ConnectionEndedError) and not isinstance(error.__cause__, OSError):
-            self._engine.note_given_up(attempt, GiveUpReason.INVALID_RESPONSE)
+        Where it is this node that ends it, the endpoint may have accepted the job.
+        """
+        if isinstance(error, ConnectionEndedError) or isinstance(error.__cause__, OSError):
+            return Outcome.RESET
+        is_timeout = isinstance(error, ResponseTimeoutError)
+        reason = GiveUpReason.NO_RESPONSE if is_timeout else GiveUpReason.INVALID_RESPONSE
+        self._engine.give_up_attempt(attempt, Outcome.RESET, reason)
+        return None
 
     async def _read_response(self, attempt: Attempt, connection: PooledConnection) -> Response:
         """Read the response; ResponseTimeoutError if none comes in time."""
@@ -182,9 +198,7 @@
             try:
                 # All may have changed during the connect. Nothing suspends from here to the first byte.
                 recheck_send_precondition(attempt, self._directory, endpoint)
-                await self._write_request(attempt, endpoint, connection)
-                in_flight.is_written = True
-                attempt.written_at = self._clock()
+                await self._write_request(attempt, endpoint, connection, in_flight)
             except RequestNotSentError:
                 connection.close(CloseReason.BROKEN)
                 if must_connect or not connection.is_reused:
@@ -198,15 +212,23 @@
             return connection
 
     async def _write_request(
-        self, attempt: Attempt, endpoint: ListedEndpoint, connection: PooledConnection
+        self,
+        attempt: Attempt,
+        endpoint: ListedEndpoint,
+        connection: PooledConnection,
+        in_flight: InFlightAttempt,
     ) -> None:
         self._verify_send(attempt, endpoint)
+        in_flight.connection = connection
+        attempt.address = endpoint.address
         payload: RequestPayload = attempt.job.payload
         timeout_ms = max(1, int(attempt.deadline - self._clock()))
         headers = [("Request-Id", attempt.job.id), ("Request-Timeout-Ms", str(timeout_ms))]
         if payload.idempotency_key:
             headers.append(("Idempotency-Key", payload.idempotency_key))
         await connection.write(payload.method, payload.path, headers, payload.body)
+        in_flight.is_written = True
+        attempt.written_at = self._clock()
 
     def _verify_send(self, attempt: Attempt, endpoint: ListedEndpoint) -> None:
         """Count a violation if the request is written although the precondition does not hold now."""
@@ -217,31 +239,3 @@
             violated = Invariant.SEND
         if violated is not None:
             self._engine.invariants.record_violation(violated, id=attempt.job.id, target=attempt.endpoint)
-
-    # --- cancellation -----------------------------------------------------------------------------
-
-    async def _send_cancel(self, attempt: Attempt) -> None:
-        """Send the DELETE; the engine learns if the endpoint has answered it, or is gone."""
-        try:
-            if await self._is_cancelled_by_delete(attempt):
-                self._engine.on_attempt_cancelled(attempt)
-        except (RequestNotSentError, BrokenResponseError):
-            return  # whether it arrived is not known: the policy cancels the attempt again
-        except Exception as error:  # noqa: BLE001
-            # The boundary of the call's task: without this, an error in one call would end the node.
-            self._log("attempt-error", target=attempt.endpoint, error=repr(error))
-        finally:
-            self.pending_cancels -= 1
-
-    async def _is_cancelled_by_delete(self, attempt: Attempt) -> bool:
-        address = self._directory.address_of(attempt.endpoint)
-        if not address:
-            return False
-        path = f"/jobs/{attempt.job.id}".encode()
-        try:
-            with trio.move_on_after(_CANCEL_TIMEOUT_SECONDS):
-                await self._pool.call(address, b"DELETE", path)
-                return True
-        except ConnectError as error:
-            return error.is_refused  # the process is gone, and the job with it
-        return False
--- /dev/null
+++ b/burlmoor/upstream/cancellation.py
@@ -0,0 +1,85 @@
+"""Cancels attempts at their endpoints by DELETE, each until its endpoint has confirmed that."""
+
+from __future__ import annotations
+
+import trio
+
+from burlmoor.engine.engine import Engine
+from burlmoor.engine.job import Attempt
+from burlmoor.log import EventLogger
+from burlmoor.upstream.errors import BrokenResponseError, ConnectError, RequestNotSentError
+from burlmoor.upstream.pool import ConnectionPool
+
+_FIRST_TIMEOUT_SECONDS = 0.45  # on a connection that may have fallen silent
+_TIMEOUT_SECONDS = 2.0  # of the calls after it, on new connections, and where nothing waits for the call
+_FIRST_PAUSE_SECONDS = 0.1  # between two calls; it doubles
+_MAX_PAUSE_SECONDS = 1.0
+_STATUS_SERVER_ERROR = 500
+
+
+class AttemptCanceller:
+    """Owns the DELETE calls. Where settings allow no cancellation, none is made.
+
+    The engine learns of a cancellation once the endpoint has answered. A refused connection is no answer: an
+    endpoint whose connections are all taken refuses further ones, and goes on with its jobs.
+    """
+
+    def __init__(self, engine: Engine, pool: ConnectionPool, nursery: trio.Nursery, log: EventLogger) -> None:
+        self._engine = engine
+        self._pool = pool
+        self._nursery = nursery
+        self._log = log
+        self._attempts: set[Attempt] = set()  # being cancelled
+        self._paused_count = 0  # of these, between two calls
+
+    @property
+    def open_calls(self) -> int:
+        """How many calls are about to be made, or wait for their response."""
+        return len(self._attempts) - self._paused_count
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Cancel an attempt, unless that is under way."""
+        if self._engine.settings.limits.may_cancel and attempt not in self._attempts:
+            self._attempts.add(attempt)
+            self._nursery.start_soon(self._cancel, attempt)
+
+    async def _cancel(self, attempt: Attempt) -> None:
+        try:
+            await self._call_until_confirmed(attempt)
+        except Exception as error:  # noqa: BLE001
+            # The boundary of the task: without this, an error in one call would end the node.
+            self._log("attempt-error", target=attempt.endpoint, error=repr(error))
+        finally:
+            self._attempts.discard(attempt)
+
+    async def _call_until_confirmed(self, attempt: Attempt) -> None:
+        is_awaited = not attempt.has_ended
+        is_confirmed = await self._call(attempt, _FIRST_TIMEOUT_SECONDS if is_awaited else _TIMEOUT_SECONDS)
+        pause = _FIRST_PAUSE_SECONDS
+        # What has ended by another way is not waited for: one call is enough, lest its executor run in vain.
+        while not (is_confirmed or attempt.has_ended):
+            await self._pause(pause)
+            pause = min(2.0 * pause, _MAX_PAUSE_SECONDS)
+            if attempt.has_ended:
+                return
+            is_confirmed = await self._call(attempt, _TIMEOUT_SECONDS, must_connect=True)
+        if is_confirmed:
+            self._engine.on_attempt_cancelled(attempt)
+
+    async def _call(self, attempt: Attempt, timeout_seconds: float, must_connect: bool = False) -> bool:
+        """Send one DELETE; whether the endpoint has answered it."""
+        path = f"/jobs/{attempt.job.id}".encode()
+        try:
+            with trio.move_on_after(timeout_seconds):
+                response = await self._pool.call(attempt.address, b"DELETE", path, must_connect)
+                return response.status < _STATUS_SERVER_ERROR
+        except (ConnectError, RequestNotSentError, BrokenResponseError):
+            return False  # whether it has arrived is not known
+        return False
+
+    async def _pause(self, seconds: float) -> None:
+        self._paused_count += 1
+        try:
+            await trio.sleep(seconds)
+        finally:
+            self._paused_count -= 1
--- a/burlmoor/upstream/errors.py
+++ b/burlmoor/upstream/errors.py
@@ -10,11 +10,10 @@
 class ConnectError(BurlmoorError):
     """No connection came up, so nothing of the request has been sent."""
 
-    def __init__(self, address: str, reason: str, is_refused: bool = False) -> None:
+    def __init__(self, address: str, reason: str) -> None:
         super().__init__(f"{address}: {reason}")
         self.address = address  # `host:port`
         self.reason = reason
-        self.is_refused = is_refused  # whether the endpoint's machine said that nothing listens there
 
 
 class RequestNotSentError(BurlmoorError):
--- a/burlmoor/upstream/in_flight.py
+++ b/burlmoor/upstream/in_flight.py
@@ -11,7 +11,9 @@
 from burlmoor.engine.job import Attempt
 from burlmoor.invariants import Invariant
 from burlmoor.log import EventLogger
-from burlmoor.types.reasons import GiveUpReason
+from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import CloseReason, GiveUpReason
+from burlmoor.upstream.connection import PooledConnection
 
 # After an endpoint was notified to drain, until its unaccepted attempts are withdrawn. The drain rule gives
 # 0.25 s, of which a node may be held up for 0.15 s.
@@ -22,12 +24,17 @@
 
 @dataclass(slots=True)
 class InFlightAttempt:
-    """An attempt that waits for its 202; cancelling the scope gives it up."""
+    """An attempt that waits for its 202."""
 
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    connection: PooledConnection | None = None  # from the request's first byte on
     is_written: bool = False  # whether the request's last byte has been written
-    is_accepted: bool = False
-    is_withdrawn: bool = False  # whether its endpoint was not live any more before it had accepted the job
+
+    def abort(self) -> None:
+        """Let nothing more of the request go out, from this moment on."""
+        if self.connection is not None:
+            self.connection.close(CloseReason.GIVEN_UP)
+        self.scope.cancel()
 
 
 class InFlightAttempts:
@@ -56,7 +63,7 @@
         return in_flight
 
     def find(self, attempt: Attempt) -> InFlightAttempt | None:
-        """Return the state of an attempt; None if it has ended or was accepted."""
+        """Return the state of an attempt; None if its response has come, or its connection has broken."""
         return self._by_attempt.get(attempt)
 
     def remove(self, attempt: Attempt) -> None:
@@ -76,11 +83,11 @@
         """
         await trio.sleep(_WITHDRAW_AFTER_SECONDS)
         in_flight = self._by_attempt.get(attempt)
-        if in_flight is None or in_flight.is_accepted or self._directory.find_live(attempt.endpoint):
+        if in_flight is None or attempt.is_given_up or self._directory.find_live(attempt.endpoint):
             return
-        in_flight.is_withdrawn = True
-        self._engine.note_given_up(attempt, GiveUpReason.ENDPOINT_NOT_LIVE)
-        in_flight.scope.cancel()
+        # A request of which not all was written has not run.
+        outcome = Outcome.RESET if in_flight.is_written else Outcome.UNREACHABLE
+        self._engine.give_up_attempt(attempt, outcome, GiveUpReason.ENDPOINT_NOT_LIVE)
         self._log(
             "attempt-withdrawn",
             id=attempt.job.id,
--- a/burlmoor/upstream/pool.py
+++ b/burlmoor/upstream/pool.py
@@ -117,8 +117,7 @@
         except OSError as error:
             if error.errno in DESCRIPTORS_EXHAUSTED:
                 self.close_oldest_idle()
-            is_refused = isinstance(error, ConnectionRefusedError)
-            raise ConnectError(address, str(error), is_refused) from error
+            raise ConnectError(address, str(error)) from error
         except ValueError as error:  # an invalid address, or a host name that cannot be encoded
             raise ConnectError(address, str(error)) from error
         finally:
@@ -126,12 +125,12 @@
                 self.open_count -= 1
         return PooledConnection(self, address, stream, self._response_limit_bytes)
 
-    async def call(self, address: str, method: bytes, path: bytes) -> Response:
+    async def call(self, address: str, method: bytes, path: bytes, must_connect: bool = False) -> Response:
         """Send a request without a body that is idempotent; its complete response.
 
         Raises ConnectError, RequestNotSentError or BrokenResponseError.
         """
-        connection = await self.acquire(address)
+        connection = await (self.connect(address) if must_connect else self.acquire(address))
         try:
             response = await connection.exchange(method, path)
         except ResponseTooLongError:
--- a/burlmoor/upstream/send_precondition.py
+++ b/burlmoor/upstream/send_precondition.py
@@ -25,14 +25,14 @@
     - The job is open and its client connected. Without this, executors would work for clients that have left
       (also where the settings bar cancellation, so that nothing else stops an attempt that waits for a
       connection), and a hedged request could be sent for a job that is answered already (rule 1).
-    - The attempt has not ended: it was neither cancelled nor has it timed out.
+    - The attempt is not over: it has neither ended nor been given up.
     - The endpoint is live: neither draining, nor gone, nor disabled by an override. Without this, an endpoint
       would get work after the node was notified that it drains (the drain rule, rule 3).
 
     No other task may run between this check and the first byte: the caller must not suspend in between.
     """
-    if attempt.has_ended or attempt.job.is_closed:
-        raise SendPreconditionError(attempt, "the job is closed or the attempt has ended")
+    if attempt.is_over or attempt.job.is_closed:
+        raise SendPreconditionError(attempt, "the job is closed or the attempt is over")
     endpoint = directory.find_live(attempt.endpoint)
     if endpoint is None:
         raise SendPreconditionError(attempt, "the endpoint is not live")
