Retry a job beside an attempt that is given up where settings allow two, and test giving up

Cause: where hedging is on, a job both of whose attempts were given up was not sent again when one of them had ended, since the other one was still pending. Change: retry_or_abandon looks at the attempts that are not given up; one bound, may_send, says whether a retry may go out beside the others.

--- a/burlmoor/policy/dispatcher.py
+++ b/burlmoor/policy/dispatcher.py
@@ -120,7 +120,7 @@
             job, attempt = found
             attempt.is_given_up = True
             self._outcomes.record_fault(attempt, event.outcome, now)
-            self._retries.hedge_given_up(job, event.outcome, now)
+            self._retries.on_given_up(job, event.outcome, now)
 
     def _on_attempt_ended(self, event: ev.AttemptEnded, now: float) -> None:
         found = self.context.jobs.find_attempt(event.id, event.attempt)
--- a/burlmoor/policy/retries.py
+++ b/burlmoor/policy/retries.py
@@ -88,25 +88,22 @@
         elif len(job.pending_attempts()) == 1:
             self._rounds.enqueue(job, now, RETRY_TICKS)
 
-    def hedge_given_up(self, job: ScheduledJob, outcome: Outcome, now: float) -> None:
-        """Queue a job again whose only attempt was given up, where a second one may be out beside it.
-
-        Where that is not allowed, the job waits until the attempt has ended.
-        """
-        is_hedged = any(not attempt.is_given_up for attempt in job.pending_attempts())
-        if job.is_closed or job.is_queued or is_hedged or outcome is Outcome.TIMEOUT:
-            return
-        if now < job.useful_until and self._context.safety.may_send(job, job.attempts[-1].endpoint, now):
-            job.rounds_waited += 1
-            self._rounds.enqueue(job, now, RETRY_TICKS)
+    def on_given_up(self, job: ScheduledJob, outcome: Outcome, now: float) -> None:
+        """Retry a job whose attempt was given up, where a second one may be out beside it."""
+        if not job.is_closed and outcome is not Outcome.TIMEOUT:
+            self.retry_or_abandon(job, now)
 
     def retry_or_abandon(self, job: ScheduledJob, now: float) -> None:
-        """Queue a job whose attempt brought no answer again where that is safe, else end it."""
-        if job.pending_attempts() or job.is_queued:
+        """Queue a job whose attempt brought no answer again where that is safe, else end it.
+
+        Where an attempt that was given up is still out, and bars a retry, the job waits for its end.
+        """
+        pending = job.pending_attempts()
+        if job.is_queued or any(not attempt.is_given_up for attempt in pending):
             return
         last = (job.possibly_run_attempts() or job.attempts)[-1]
         if now < job.useful_until and self._context.safety.may_send(job, last.endpoint, now):
             job.rounds_waited += 1
             self._rounds.enqueue(job, now, RETRY_TICKS)
-        else:
+        elif not pending:
             self._context.jobs.abandon(job, EndReason.NO_RETRY)
--- /dev/null
+++ b/tests/engine/test_giving_up.py
@@ -0,0 +1,110 @@
+"""Attempts that are given up: until their endpoints are known not to hold them, they are out."""
+
+from __future__ import annotations
+
+import pytest
+
+from burlmoor.engine.answers import Failed, Rejected, Served
+from burlmoor.types.actions import StartAttempt
+from burlmoor.types.outcome import Outcome
+from burlmoor.types.reasons import GiveUpReason
+from burlmoor.types.settings import Limits
+from tests.support.engine_harness import EngineHarness
+
+HEDGING = Limits(max_attempts=5, may_cancel=True, may_hedge=True)
+NO_HEDGING = Limits(max_attempts=5, may_cancel=True, may_hedge=False)
+
+
+def give_up(harness: EngineHarness, outcome: Outcome = Outcome.RESET) -> None:
+    """Give up the latest attempt, and let its job be retried if that is allowed."""
+    harness.engine.give_up_attempt(harness.started_attempts[-1], outcome, GiveUpReason.NO_RESPONSE)
+    harness.advance(100.0)
+
+
+@pytest.mark.parametrize(("limits", "allowed"), [(NO_HEDGING, 1), (HEDGING, 2)])
+def test_no_more_attempts_are_out_than_allowed_and_the_next_follows_a_confirmed_cancel(
+    limits: Limits, allowed: int
+) -> None:
+    harness = EngineHarness(limits=limits)
+    harness.submit_and_start(work_ms=2000.0)
+    for number in range(allowed):
+        give_up(harness)
+        assert len(harness.started_attempts) == min(number + 2, allowed)
+    first = harness.started_attempts[0]
+    assert harness.cancelled_attempts[0] is first
+    harness.engine.on_attempt_cancelled(first)
+    assert first.outcome is Outcome.RESET
+    harness.advance(100.0)
+    assert len(harness.started_attempts) == allowed + 1
+    assert len(harness.open_attempts()) == allowed
+    assert harness.engine.invariants.counts() == {}
+
+
+def test_a_result_that_comes_before_the_cancel_is_confirmed_serves_the_job() -> None:
+    harness = EngineHarness(limits=NO_HEDGING)
+    client, attempt = harness.submit_and_start(work_ms=2000.0)
+    give_up(harness)
+    assert harness.engine.find_attempt("a1", attempt.endpoint) is attempt
+    harness.engine.on_attempt_ended(attempt, Outcome.SERVED, b"late")
+    harness.engine.on_attempt_cancelled(attempt)
+    harness.advance(100.0)
+    assert client.answers == [Served(b"late")]
+    assert harness.started_attempts == [attempt]
+    assert harness.engine.open_job_ids() == []
+
+
+def test_a_start_that_is_reported_after_the_give_up_changes_nothing() -> None:
+    harness = EngineHarness(limits=HEDGING)
+    _, attempt = harness.submit_and_start(work_ms=2000.0)
+    harness.engine.give_up_attempt(attempt, Outcome.RESET, GiveUpReason.NO_RESPONSE)
+    harness.engine.on_attempt_started(attempt)
+    harness.engine.on_attempt_progressed(attempt, 0.5)
+    harness.advance(100.0)
+    assert len(harness.started_attempts) == 2
+
+
+@pytest.mark.parametrize("limits", [NO_HEDGING, HEDGING])
+def test_a_job_whose_attempts_are_never_confirmed_is_rejected_in_time_and_forgotten(limits: Limits) -> None:
+    harness = EngineHarness(limits=limits)
+    client, _ = harness.submit_and_start(timeout_ms=900.0)
+    give_up(harness)
+    harness.advance(900.0)
+    assert client.answer_types() == [Rejected]
+    assert harness.open_attempts() == []
+    assert harness.engine.open_job_ids() == []
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.UNREACHABLE])
+def test_a_non_idempotent_job_does_not_wait_for_the_cancel(outcome: Outcome) -> None:
+    harness = EngineHarness(limits=NO_HEDGING)
+    client, attempt = harness.submit_and_start("once")
+    give_up(harness, outcome)
+    if outcome is Outcome.RESET:
+        assert client.answers == [Failed()]
+    else:
+        assert len(harness.started_attempts) == 2  # it has not run, so it may be sent again
+    assert harness.cancelled_attempts == [attempt]
+
+
+def test_a_job_that_a_shutdown_answers_early_is_not_sent_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    harness = EngineHarness(limits=NO_HEDGING)
+    client, attempt = harness.submit_and_start(timeout_ms=5000.0, work_ms=2000.0)
+    other = next(f"a{number}" for number in range(4) if f"a{number}" != attempt.endpoint)
+    harness.engine.answer_all_by(harness.now + 100.0)
+    # In the step of the answer, its attempt has ended and its cancel is only on its way.
+    again = StartAttempt(attempt.job.number, other)
+    monkeypatch.setattr(harness.engine._policy, "handle", lambda *_: [again] if attempt.has_ended else [])
+    harness.advance(200.0)
+    assert client.answers == [Failed()]
+    assert harness.started_attempts == [attempt]
+
+
+def test_an_attempt_whose_own_time_is_over_counts_as_out() -> None:
+    harness = EngineHarness(limits=NO_HEDGING)
+    _, attempt = harness.submit_and_start(work_ms=2000.0)
+    harness.engine._deadlines.schedule(harness.now + 10.0, attempt)
+    harness.advance(100.0)
+    assert not attempt.has_ended
+    assert harness.started_attempts == harness.cancelled_attempts == [attempt]
+    harness.engine.on_attempt_cancelled(attempt)
+    assert attempt.outcome is Outcome.TIMEOUT
