--- a/tests/integration/test_simultaneous_attempts.py
+++ b/tests/integration/test_simultaneous_attempts.py
@@ -8,7 +8,8 @@
 longer; it was on its way, so the close came too late to give anything up.
 
 Cause: an attempt counted as over as soon as the node had given it up, before its executor had heard of that.
-Every way of giving up before the 202 had it, whatever the reason: the four below.
+Every way of giving up before the 202 had it, whatever the reason: the four below. What set it off: executors
+that a process had never heard of counted as silent.
 
 Proof: the log of jobs shows the reason and the moment of each give-up; on links that are as slow as between
 zones the same happens over a real process, and does not once a give-up has to be confirmed.
@@ -25,13 +26,14 @@
 
 from burlmoor.testbed.job_classes import JobClass, platform_settings
 from burlmoor.testbed.local_cluster import LocalCluster, new_request
-from tests.support.linked_cluster import LEAVING, SEARCH, run_with_links
+from tests.support.linked_cluster import LEAVING, SEARCH, run_with_links, send_jobs
 from tests.support.polling import poll_until
 
 ONE_WAY_SECONDS = 0.03  # between zones
 HANDSHAKE_SECONDS = 0.06  # of a new connection between zones
 WORK_MS = 1500.0  # long enough to run still when the next attempt comes
 JOBS = 6
+SILENT_SECONDS = 3.2  # after which an executor that has reported nothing may not be working
 
 
 def limits(may_hedge: bool) -> dict[str, Any]:
@@ -52,11 +54,18 @@
             nursery.start_soon(cluster.clients[0].send, new_request(f"a{number}", job_class, WORK_MS))
 
 
-async def be_slow(cluster: LocalCluster) -> None:
-    """The first jobs of a new process go to executors in other zones."""
+def move_to_other_zones(cluster: LocalCluster) -> None:
+    """Let all that passes between the node and its executors take as long as between zones."""
     for link in [*cluster.executor_links(), *cluster.callback_links()]:
         link.set_delay(ONE_WAY_SECONDS)
         link.handshake_seconds = HANDSHAKE_SECONDS
+
+
+async def slow_down(cluster: LocalCluster) -> None:
+    """The network becomes slower than it was when executors were last heard of, some seconds ago."""
+    await send_jobs(cluster, SEARCH, "before", 30)
+    await trio.sleep(SILENT_SECONDS)
+    move_to_other_zones(cluster)
     await send_long_jobs(cluster)
 
 
@@ -99,7 +108,7 @@
 @pytest.mark.parametrize(
     ("scenario", "reason"),
     [
-        (be_slow, "overdue"),
+        (slow_down, "overdue"),
         (delay_responses, "no-response"),
         (garble_responses, "invalid-response"),
         (announce_drains, "endpoint-not-live"),
@@ -116,6 +125,19 @@
     run_with_links(tmp_path, run, Limits=limits(may_hedge=False))
 
 
+def test_a_new_process_does_not_take_its_first_attempts_for_overdue(tmp_path: Path) -> None:
+    """It has heard of no executor yet, which says nothing against any."""
+
+    async def run(cluster: LocalCluster) -> None:
+        move_to_other_zones(cluster)
+        await send_long_jobs(cluster)
+        assert give_up_reasons(cluster) == set()
+        assert len(cluster.event_record.attempts) == JOBS
+        assert all(request.is_served for request in cluster.event_record.requests.values())
+
+    run_with_links(tmp_path, run, Limits=limits(may_hedge=False))
+
+
 def test_hedging_never_has_three_attempts_of_a_job_out(tmp_path: Path) -> None:
     async def run(cluster: LocalCluster) -> None:
         await delay_responses(cluster)
