Do not take an executor for silent that this process has never heard of

Change: an endpoint is silent once it has had an attempt of this process for 3 s and has reported nothing since.

--- a/burlmoor/policy/attempts.py
+++ b/burlmoor/policy/attempts.py
@@ -27,6 +27,7 @@
     def send(self, job: ScheduledJob, selection: Selection, now: float) -> None:
         """Send the job to the endpoint selected."""
         endpoint = selection.endpoint
+        endpoint.first_sent_at = min(endpoint.first_sent_at, now)
         self._measured.record_weight_rate(endpoint, selection.weight_rate, now)
         attempt = ScheduledAttempt(
             number=len(job.attempts),
--- a/burlmoor/policy/retries.py
+++ b/burlmoor/policy/retries.py
@@ -68,7 +68,7 @@
         prompt_rate = self._measured.prompt_start_rate.read(now, EVIDENCE_HALF_LIFE_MS, 1.0)
         return (
             prompt_rate * self._limits.max_attempts > 1.0
-            and attempt.endpoint.last_heard_at < now - SILENT_ENDPOINT_MS
+            and attempt.endpoint.is_silent_since(now - SILENT_ENDPOINT_MS)
             and self._sender.redistribution_tokens >= 1.0
             and job.job_class.idempotency is Idempotency.IDEMPOTENT
         )
--- a/tests/policy/test_safety_rules.py
+++ b/tests/policy/test_safety_rules.py
@@ -165,9 +165,26 @@
     assert len(driver.actions_of(StartAttempt, 7)) == 1
 
 
+def let_endpoints_be_silent(driver: DispatcherDriver) -> None:
+    """Let all endpoints have had an attempt some seconds ago, and have reported nothing since."""
+    for endpoint in driver.dispatcher.endpoints.by_name.values():
+        endpoint.first_sent_at = driver.now - 4000.0
+
+
+@pytest.mark.parametrize("may_hedge", [False, True])
+def test_an_attempt_at_an_endpoint_that_was_never_heard_of_is_not_overdue_at_once(may_hedge: bool) -> None:
+    limits = Limits(max_attempts=4, may_cancel=True, may_hedge=may_hedge)
+    driver = DispatcherDriver(settings(limits=limits))
+    driver.request_and_place(7, work_ms=2000.0)
+    driver.run(1000.0)
+    assert len(driver.actions_of(StartAttempt, 7)) == 1
+    assert not driver.actions_of(CancelAttempt, 7)
+
+
 def test_two_attempts_are_never_pending_together_where_hedging_is_not_allowed() -> None:
     limits = Limits(max_attempts=4, may_cancel=True, may_hedge=False)
     driver = DispatcherDriver(settings(limits=limits))
+    let_endpoints_be_silent(driver)
     send = driver.request_and_place(7, work_ms=2000.0)
     driver.run(300.0)
     assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0, GiveUpReason.OVERDUE)]
@@ -179,6 +196,7 @@
 
 def test_a_job_that_has_not_started_is_hedged_and_the_loser_is_cancelled() -> None:
     driver = DispatcherDriver()
+    let_endpoints_be_silent(driver)
     driver.request_and_place(7, work_ms=2000.0)
     driver.run(300.0)
     sends = driver.actions_of(StartAttempt, 7)
