--- a/burlmoor/testbed/clients.py
+++ b/burlmoor/testbed/clients.py
@@ -62,7 +62,9 @@
         return request
 
     async def _send(self, request: RequestRecord, outgoing: _Outgoing) -> None:
-        stream = self._take_idle() or await self._connect(request, was_written=False)
+        idle = self._take_idle()
+        request.was_reused = idle is not None
+        stream = idle or await self._connect(request, was_written=False)
         if await self._exchange(stream, request, outgoing) or not self._may_resend:
             return
         stream = await self._connect(request, was_written=True)
@@ -93,7 +95,9 @@
         is_reusable = False
         try:
             answer = await self._receive_answer(stream, request, outgoing)
-            if answer is not None:
+            if answer is None:
+                request.closed_ms = now_ms()
+            else:
                 _record_answer(request, answer)
                 is_reusable = answer.headers.get("connection") != "close"
         finally:
--- a/burlmoor/testbed/event_record.py
+++ b/burlmoor/testbed/event_record.py
@@ -36,6 +36,10 @@
     slots: int = 1
     is_unsent: bool = msgspec.field(name="unsent", default=False)  # no connection: no node has the request
     node_changes: int = msgspec.field(name="moves", default=0)  # other nodes tried after a refused connection
+    # Whether it was written to a connection that had carried another one before.
+    was_reused: bool | UnsetType = msgspec.field(name="reused", default=UNSET)
+    # When that connection ended without an answer, if it did.
+    closed_ms: float | UnsetType = msgspec.field(name="closed", default=UNSET)
 
     @property
     def is_served(self) -> bool:
@@ -163,14 +167,19 @@
         ]
 
 
-def find_simultaneous(attempts: Iterable[AttemptRecord], most_at_once: int) -> list[str]:
-    """Return the ids of requests with more attempts out at once than that, one for each too many."""
+def attempts_by_id(attempts: Iterable[AttemptRecord]) -> dict[str, list[AttemptRecord]]:
+    """Return attempts by the id of their request, in their order."""
     by_id: dict[str, list[AttemptRecord]] = {}
     for attempt in attempts:
         by_id.setdefault(attempt.id, []).append(attempt)
+    return by_id
+
+
+def find_simultaneous(attempts: Iterable[AttemptRecord], most_at_once: int) -> list[str]:
+    """Return the ids of requests with more attempts out at once than that, one for each too many."""
     return [
         request_id
-        for request_id, of_request in by_id.items()
+        for request_id, of_request in attempts_by_id(attempts).items()
         for attempt in of_request
         if sum(other.is_out(attempt.received_ms) for other in of_request) > most_at_once
     ]
--- a/burlmoor/testbed/fleet/fault_injection.py
+++ b/burlmoor/testbed/fleet/fault_injection.py
@@ -10,6 +10,7 @@
 
 from burlmoor.testbed.clock import now_ms
 from burlmoor.testbed.discovery import DiscoveryService
+from burlmoor.testbed.fleet.addresses import Ports
 from burlmoor.testbed.fleet.executors import Action
 from burlmoor.testbed.fleet.faults import (
     DISCOVERY_FAULTS,
@@ -22,7 +23,8 @@
 )
 from burlmoor.testbed.fleet.helper_processes import HelperProcesses
 from burlmoor.testbed.fleet.link_faults import active_executor_link_faults, active_node_link_faults
-from burlmoor.testbed.fleet.node_processes import READY_SECONDS, NodeProcesses
+from burlmoor.testbed.fleet.node_faults import NodeFaultInjector, begin_interval, sleep_until
+from burlmoor.testbed.fleet.node_processes import NodeProcesses
 from burlmoor.testbed.fleet.record import FaultInterval, RunRecord
 
 _HAND_BACK_DELAY_SECONDS = 0.1  # from when a drain is announced until the executor hands its queue back
@@ -30,19 +32,20 @@
 _InjectOne = Callable[[Fault, int], Awaitable[None]]
 
 
-async def sleep_until(record: RunRecord, at_seconds: float) -> None:
-    """Sleep until so many seconds after the start of the load."""
-    await trio.sleep(max(0.0, (record.start_ms - now_ms()) / 1000.0 + at_seconds))
-
-
 class FaultInjector:
     """Injects the faults of a run; everything it acts on is owned by others."""
 
     def __init__(
-        self, record: RunRecord, nodes: NodeProcesses, helpers: HelperProcesses, discovery: DiscoveryService
+        self,
+        record: RunRecord,
+        nodes: NodeProcesses,
+        helpers: HelperProcesses,
+        discovery: DiscoveryService,
+        ports: Ports,
     ) -> None:
         self._record = record
         self._nodes = nodes
+        self._node_faults = NodeFaultInjector(record, nodes, ports)
         self._helpers = helpers
         self._discovery = discovery
 
@@ -75,7 +78,6 @@
 
     def _select_injection(self, kind: str) -> _InjectOne:
         special: dict[str, _InjectOne] = {
-            "stop": self._stop_node,
             "die": self._kill_executor,
             "drain": self._drain_executor,
             "vanish": self._announce_vanished_executor,
@@ -83,47 +85,18 @@
         if kind in special:
             return special[kind]
         if kind in NODE_FAULTS:
-            return self._end_node
+            return self._node_faults.inject
         if kind in EXECUTOR_FAULTS:
             return self._degrade_executor
         assert kind in DISCOVERY_FAULTS
         return self._disturb_discovery
 
-    def _begin_interval(self, fault: Fault, subject: str) -> FaultInterval:
-        """Record that a fault begins now, with its planned end until the real one is known."""
-        start_ms = now_ms()
-        interval = FaultInterval(fault.kind, subject, start_ms, start_ms + fault.duration * 1000.0)
-        self._record.fault_intervals.append(interval)
-        return interval
-
-    # --- nodes ----------------------------------------------------------------------------------
-
-    async def _stop_node(self, fault: Fault, number: int) -> None:
-        await sleep_until(self._record, fault.start)
-        interval = self._begin_interval(fault, self._nodes.names[number])
-        process = self._nodes.pause(number)
-        await sleep_until(self._record, fault.end)
-        self._nodes.resume(process)
-        interval.end = now_ms()
-
-    async def _end_node(self, fault: Fault, number: int) -> None:
-        await sleep_until(self._record, fault.start)
-        if self._nodes.is_ended_by_fault(number):
-            return  # by another fault, which starts it again
-        interval = self._begin_interval(fault, self._nodes.names[number])
-        await self._nodes.end_by_fault(number, fault.kind)
-        await sleep_until(self._record, fault.end)
-        self._nodes.start(number)
-        with trio.move_on_after(READY_SECONDS):
-            await self._nodes.wait_until_ready(number)
-        interval.end = now_ms()
-
     # --- executors ------------------------------------------------------------------------------
 
     async def _kill_executor(self, fault: Fault, number: int) -> None:
         await sleep_until(self._record, fault.start)
         name = self._record.executor_names()[number]
-        interval = self._begin_interval(fault, name)
+        interval = begin_interval(self._record, fault, name)
         self._helpers.command_executor(name, "die")
         await trio.sleep(fault.notification_delay)
         self._discovery.set_entry(name, health="left")
@@ -134,7 +107,7 @@
     async def _drain_executor(self, fault: Fault, number: int) -> None:
         await sleep_until(self._record, fault.start)
         name = self._record.executor_names()[number]
-        interval = self._begin_interval(fault, name)
+        interval = begin_interval(self._record, fault, name)
         self._discovery.set_entry(name, health="leaving")
         await trio.sleep(_HAND_BACK_DELAY_SECONDS)
         self._helpers.command_executor(name, "hand_back")
@@ -147,7 +120,7 @@
         """Let discovery announce an executor that is cut off, and that it is back; its process goes on."""
         await sleep_until(self._record, fault.start)
         name = self._record.executor_names()[number]
-        interval = self._begin_interval(fault, name)
+        interval = begin_interval(self._record, fault, name)
         with trio.move_on_after(fault.duration):
             await trio.sleep(fault.notification_delay)
             self._discovery.set_entry(name, health="left")
@@ -164,7 +137,7 @@
         """Let an executor stand still, be slow or fail every job at once."""
         await sleep_until(self._record, fault.start)
         name = self._record.executor_names()[number]
-        interval = self._begin_interval(fault, name)
+        interval = begin_interval(self._record, fault, name)
         action = msgspec.convert(fault.kind, Action)
         self._helpers.command_executor(name, action, max(1.0, fault.magnitude))
         await sleep_until(self._record, fault.end)
@@ -176,7 +149,7 @@
     async def _disturb_discovery(self, fault: Fault, number: int) -> None:
         await sleep_until(self._record, fault.start)
         name = self._nodes.names[number]
-        self._begin_interval(fault, name)
+        begin_interval(self._record, fault, name)
         if fault.kind == "late":
             self._discovery.delay_ms_by_node[name] = fault.magnitude
             await sleep_until(self._record, fault.end)
--- a/burlmoor/testbed/fleet/faults.py
+++ b/burlmoor/testbed/fleet/faults.py
@@ -15,7 +15,9 @@
 
 # On links. `repeat` and `reorder` are for datagrams alone, `reset` and `throttle` for connections.
 LINK_FAULTS = ("cut", "delay", "drop", "reset", "stall", "throttle", "corrupt", "repeat", "reorder")
-NODE_FAULTS = ("kill", "stop", "term")
+# `restart` is SIGTERM, `magnitude` more signals, and SIGKILL as early as the platform may send it; `reload`
+# is SIGHUP `magnitude` times in a row; `crowd` is as many idle clients.
+NODE_FAULTS = ("kill", "stop", "term", "restart", "reload", "crowd")
 # `vanish` cuts an executor's machine off: it stays up, discovery announces it as gone, and later as back.
 EXECUTOR_FAULTS = ("die", "drain", "still", "slow", "fail", "vanish")
 # `isolate` cuts nodes off from discovery and all executors, while clients still reach them; `crowded` lets
@@ -34,7 +36,8 @@
     schedule's seed) and zones (`zone:a`). `peers` selects the other nodes of links between nodes. The
     direction `forward` is from nodes to executors (or from `nodes` to `peers`). `magnitude` is in ms for
     delay, late and reorder; the share of messages affected for drop, reset, corrupt and repeat; bytes a
-    second for throttle; and how many times slower for slow.
+    second for throttle; how many times slower for slow; and a number of signals or clients for restart,
+    reload and crowd. The duration of a restart is the time between the end and the next start.
     """
 
     kind: str = msgspec.field(name="what")
--- /dev/null
+++ b/burlmoor/testbed/fleet/idle_crowd.py
@@ -0,0 +1,44 @@
+"""Idle clients that fill a node's connections: they connect, send nothing, and connect again when closed."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import trio
+
+from burlmoor.testbed.http_stream import HttpStream, connect
+
+_REOPEN_SECONDS = 0.2  # between two looks at which connections the node has closed
+
+
+class IdleCrowd:
+    """Owns the connections of one crowd."""
+
+    def __init__(self, address: tuple[str, int], size: int) -> None:
+        self._address = address
+        self._size = size
+        self._streams: list[HttpStream] = []
+
+    async def run(self, seconds: float) -> None:
+        """Keep the connections open for so long."""
+        try:
+            with trio.move_on_after(seconds):
+                while True:
+                    await self._fill()
+                    await trio.sleep(_REOPEN_SECONDS)
+        finally:
+            for stream in self._streams:
+                stream.close()
+
+    async def _fill(self) -> None:
+        """Drop the connections that the node has closed, and open as many."""
+        remaining = []
+        for stream in self._streams:
+            if stream.has_peer_ended():
+                stream.close()
+            else:
+                remaining.append(stream)
+        self._streams = remaining
+        with suppress(OSError):  # the node is down: the next look tries again
+            while len(self._streams) < self._size:
+                self._streams.append(await connect(self._address))
--- a/burlmoor/testbed/fleet/node_processes.py
+++ b/burlmoor/testbed/fleet/node_processes.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 from types import TracebackType
@@ -12,11 +13,12 @@
 import psutil
 import trio
 
+from burlmoor.testbed.clock import now_ms
 from burlmoor.testbed.discovery import DiscoveryService
 from burlmoor.testbed.fleet.addresses import Ports, link_address, node_address
 from burlmoor.testbed.fleet.child_process import ChildProcess
 from burlmoor.testbed.fleet.helper_processes import ProcessError
-from burlmoor.testbed.fleet.record import ResourceUsage, RunRecord
+from burlmoor.testbed.fleet.record import FaultInterval, ResourceUsage, RunRecord
 from burlmoor.testbed.job_classes import JOB_CLASSES, platform_settings
 from burlmoor.testbed.node_process import inherited_environment, send_http_request
 
@@ -25,7 +27,6 @@
 _KILL_SECONDS = 5.0  # until a node that got SIGKILL must have ended
 _READY_POLL_SECONDS = 0.2
 _HTTP_OK = 200
-_SOCKET_LIMIT = 1024
 
 
 class NodeProcesses:
@@ -101,6 +102,7 @@
     def _make_config(self, number: int) -> dict[str, Any]:
         plan = self._record.plan
         settings = platform_settings(JOB_CLASSES, plan.nodes, self._record.node_zones[number])
+        settings["Limits"]["SecondCopies"] = plan.may_hedge
         return {
             "name": self.names[number],
             "listen": f"{node_address(number)}:{self._ports.node_http}",
@@ -110,7 +112,7 @@
             "settings": {**settings, "Me": number},
             # A node that starts again has the list as it was when the run began.
             "known": self._initial_lists[number],
-            "limits": {"sockets": _SOCKET_LIMIT},
+            "limits": {"sockets": plan.socket_limit},
         }
 
     async def wait_until_ready(self, number: int) -> None:
@@ -141,6 +143,40 @@
         """Whether a fault has ended the node, and it has not been started again."""
         return number in self._ended_by_fault
 
+    def send_signal(self, number: int, signal_number: signal.Signals) -> None:
+        """Send a node a signal, if it runs."""
+        self._processes[number].send_signal(signal_number)
+
+    async def terminate(
+        self, number: int, kill_after_seconds: float, series: Sequence[tuple[float, signal.Signals]]
+    ) -> None:
+        """Send SIGTERM and the series of signals, each so many seconds later, and SIGKILL in the end.
+
+        A kill is recorded as a fault of its own, and so is an end by itself with another status than 0.
+        """
+        process = self._processes[number]
+        self._ended_by_fault.add(number)
+        process.send_signal(signal.SIGTERM)
+        async with trio.open_nursery() as nursery:
+            for after_seconds, signal_number in series:
+                nursery.start_soon(self._signal_later, process, after_seconds, signal_number)
+            has_ended = await process.wait_until_ended(kill_after_seconds)
+            nursery.cancel_scope.cancel()
+        name = self.names[number]
+        if not has_ended:
+            killed_ms = now_ms()
+            self._record.fault_intervals.append(FaultInterval("sigkill", name, killed_ms, killed_ms))
+            await process.kill()
+        elif process.exit_status:
+            self._record.unexpected_exits[f"{name} on restart"] = process.exit_status
+
+    @staticmethod
+    async def _signal_later(
+        process: ChildProcess, after_seconds: float, signal_number: signal.Signals
+    ) -> None:
+        await trio.sleep(after_seconds)
+        process.send_signal(signal_number)
+
     async def end_by_fault(self, number: int, kind: str) -> None:
         """Kill or terminate a node; a status other than 0 on SIGTERM, or no end in time, is recorded."""
         process = self._processes[number]
--- a/burlmoor/testbed/fleet/random_schedule.py
+++ b/burlmoor/testbed/fleet/random_schedule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -14,6 +15,13 @@
 _DIRECTIONS: tuple[Direction, ...] = ("both", "forward", "back")
 _RECOVERY_SECONDS = 4.0
 _MIN_FAULTS = 8
+_MIN_SOAK_NODES = 10
+_MAX_FURTHER_SIGNALS = 4  # after the SIGTERM of a restart
+_RESTART_CYCLE_SECONDS = 7.0  # of a node that is restarted again and again: its end, a pause and its start
+_MAX_RELOADS = 4  # in a row
+_SLOW_LINK_SHARE = 0.5  # of the runs
+_CROWD_SHARE = 0.35  # of the runs
+_CROWD_SIZE = 300.0
 
 
 def draw_schedule(seed: int, seconds: float, count: int) -> FaultSchedule:
@@ -55,6 +63,68 @@
     return FaultSchedule(seed, tuple(rng.sample(faults, rng.randint(_MIN_FAULTS, len(faults)))))
 
 
+def draw_soak_schedule(seed: int, seconds: float) -> FaultSchedule:
+    """Return overlapping faults, and beside them restarts in series, reloads and, in some runs, crowds."""
+    schedule = draw_overlapping_schedule(seed, seconds)
+    # Drawn by themselves, so that the faults of a seed stay as they were.
+    drawer = _SeriesDrawer(random.Random(f"{seed}:series"), max(2.0, seconds - _RECOVERY_SECONDS))
+    series = (*drawer.draw_restarts(), drawer.draw_reloads(), *drawer.draw_slow_links())
+    return FaultSchedule(seed, (*schedule.faults, *series, *drawer.draw_crowds()))
+
+
+class _SeriesDrawer:
+    """Draws faults that come in series within the first `end` seconds."""
+
+    def __init__(self, rng: random.Random, end: float) -> None:
+        self._rng = rng
+        self._end = end
+
+    def draw_restarts(self) -> list[Fault]:
+        """Draw one node after another, and one node again and again."""
+        share = f"{self._rng.choice([20, 40])}%"
+        start = self._rng.uniform(0.5, 0.4 * self._end)
+        rolling = self._draw_restart(start, nodes=share, stagger=round(0.4 * self._end, 2))
+        name = f"n{self._rng.randrange(_MIN_SOAK_NODES):03d}"
+        first = self._rng.uniform(0.0, 1.0)
+        count = math.ceil((self._end - first) / _RESTART_CYCLE_SECONDS)
+        repeated = [
+            self._draw_restart(first + _RESTART_CYCLE_SECONDS * number, nodes=name) for number in range(count)
+        ]
+        return [rolling, *repeated]
+
+    def _draw_restart(self, start: float, **parameters: Any) -> Fault:
+        pause = self._rng.uniform(0.1, 1.0)
+        further_signals = float(self._rng.randint(0, _MAX_FURTHER_SIGNALS))
+        return _round_times(
+            Fault(kind="restart", start=start, duration=pause, magnitude=further_signals, **parameters)
+        )
+
+    def draw_reloads(self) -> Fault:
+        """Draw configurations that are read again several times in a row."""
+        count = float(self._rng.randint(1, _MAX_RELOADS))
+        start = self._rng.uniform(0.5, self._end)
+        return _round_times(Fault(kind="reload", start=start, duration=0.0, nodes="40%", magnitude=count))
+
+    def draw_slow_links(self) -> list[Fault]:
+        """Draw, in some runs, links that are all the time as slow as between zones."""
+        if self._rng.random() >= _SLOW_LINK_SHARE:
+            return []
+        delay_ms = round(self._rng.uniform(10.0, 45.0), 1)
+        nodes = f"{self._rng.choice([30, 60])}%"
+        return [
+            Fault(kind="delay", start=0.0, duration=self._end, nodes=nodes, executors="*", magnitude=delay_ms)
+        ]
+
+    def draw_crowds(self) -> list[Fault]:
+        """Draw, in some runs, idle clients that take more connections than a node has."""
+        if self._rng.random() >= _CROWD_SHARE:
+            return []
+        start = self._rng.uniform(0.5, 0.5 * self._end)
+        duration = self._rng.uniform(2.0, 0.5 * self._end)
+        crowd = Fault(kind="crowd", start=start, duration=duration, nodes="20%", magnitude=_CROWD_SIZE)
+        return [_round_times(crowd)]
+
+
 class _FaultDrawer:
     """Draws faults that begin and end within the first `end` seconds."""
 
--- a/burlmoor/testbed/fleet/record.py
+++ b/burlmoor/testbed/fleet/record.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from burlmoor.errors import BurlmoorError
 from burlmoor.testbed.event_record import AttemptRecord, RequestRecord
@@ -19,6 +20,8 @@
 from burlmoor.testbed.fleet.load import Load
 from burlmoor.testbed.fleet.schedule_file import format_schedule
 
+_DEFAULT_SOCKET_LIMIT = 1024
+
 
 class RecordError(BurlmoorError, ValueError):
     """A folder that holds no readable record of a run."""
@@ -44,6 +47,19 @@
     key_count: int = msgspec.field(default=0, name="keys")
     mutation: str | None = msgspec.field(default=None, name="sabotage")
     schedule: FaultSchedule = FaultSchedule(0)
+    # Not in records of plans that have the defaults: these are older.
+    hedging: bool | UnsetType = msgspec.field(default=UNSET, name="second_copies")
+    sockets: int | UnsetType = UNSET
+
+    @property
+    def may_hedge(self) -> bool:
+        """Whether two attempts of a job may be out at once."""
+        return self.hedging is UNSET or self.hedging
+
+    @property
+    def socket_limit(self) -> int:
+        """The descriptors that each node may have."""
+        return _DEFAULT_SOCKET_LIMIT if self.sockets is UNSET else self.sockets
 
 
 class FaultInterval(msgspec.Struct):
--- a/burlmoor/testbed/fleet/run.py
+++ b/burlmoor/testbed/fleet/run.py
@@ -12,9 +12,10 @@
 from burlmoor.testbed.clock import now_ms
 from burlmoor.testbed.discovery import DiscoveryService
 from burlmoor.testbed.fleet.addresses import find_free_ports
-from burlmoor.testbed.fleet.fault_injection import FaultInjector, sleep_until
+from burlmoor.testbed.fleet.fault_injection import FaultInjector
 from burlmoor.testbed.fleet.helper_processes import HelperProcesses, ProcessCounts, allocate_cores
 from burlmoor.testbed.fleet.load import Load, mean_job_work
+from burlmoor.testbed.fleet.node_faults import sleep_until
 from burlmoor.testbed.fleet.node_processes import NodeProcesses
 from burlmoor.testbed.fleet.record import Notification, RunPlan, RunRecord
 from burlmoor.testbed.job_classes import JOB_CLASSES
@@ -80,7 +81,7 @@
                 await helpers.start(counts)
                 await nodes.announce_executors()
                 await self._start_nodes(nodes)
-                injector = FaultInjector(self.record, nodes, helpers, discovery)
+                injector = FaultInjector(self.record, nodes, helpers, discovery, ports)
                 await self._run_load(injector, helpers, counts)
                 await self._gather(nodes, helpers, discovery)
             nursery.cancel_scope.cancel()
--- a/burlmoor/testbed/fleet/verdict.py
+++ b/burlmoor/testbed/fleet/verdict.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from burlmoor.testbed.drill import Claim
-from burlmoor.testbed.fleet.audit import Audit, audit
+from burlmoor.testbed.fleet.audit import audit
+from burlmoor.testbed.fleet.audit_result import Audit
 from burlmoor.testbed.fleet.baselines import BASELINES, replay_baseline
 from burlmoor.testbed.fleet.metrics import SpreadMetrics, measure_spread
 from burlmoor.testbed.fleet.record import RunRecord
--- /dev/null
+++ b/tests/integration/test_signals.py
@@ -0,0 +1,66 @@
+"""Signals in series, from a process's first moment to its last: none ends it other than as it should.
+
+Seen in randomized runs: nodes that were told to read their configuration again while they started had ended
+with SIGHUP, whose default that is until a handler is there.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+import trio
+
+from burlmoor.testbed.local_cluster import LocalCluster, executor_specs, local_cluster
+from tests.support.linked_cluster import SEARCH, count_served, send_jobs
+from tests.support.polling import poll_until
+
+ROOT = Path(__file__).parents[2]
+INTERVAL_SECONDS = 0.004
+
+
+def run_line() -> list[str]:
+    """The command by which the platform starts a node, with this interpreter."""
+    line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    return ["/bin/sh", "-c", line.replace(".venv/bin/python", sys.executable)]
+
+
+async def send_series(cluster: LocalCluster, series: list[signal.Signals]) -> None:
+    """Send the signals in turn, again and again, for as long as the process runs."""
+    node = cluster.nodes[0]
+
+    async def is_started() -> bool:
+        return node.process is not None
+
+    await poll_until(is_started, interval_seconds=0.0)
+    assert node.process is not None
+    while node.process.poll() is None:
+        for number in series:
+            node.send_signal(number)
+            await trio.sleep(INTERVAL_SECONDS)
+
+
+@pytest.mark.parametrize("series", [[signal.SIGHUP], [signal.SIGHUP, signal.SIGTERM, signal.SIGINT]])
+def test_a_process_starts_and_ends_as_it_should_under_a_series_of_signals(
+    tmp_path: Path, series: list[signal.Signals]
+) -> None:
+    async def run() -> None:
+        with trio.fail_after(60.0):
+            await run_under_signals()
+
+    async def run_under_signals() -> None:
+        async with local_cluster(tmp_path, executor_specs(3), start=False) as cluster:
+            node = cluster.nodes[0]
+            node.command = run_line()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send_series, cluster, [signal.SIGHUP])
+                await cluster.start()
+                await send_jobs(cluster, SEARCH, "aa", 10)
+                assert count_served(cluster, "aa") == 10
+                nursery.start_soon(send_series, cluster, series)
+                assert await node.stop() == 0
+
+    trio.run(run)
