Catch signals from a process's first moment to its last

Cause: SIGHUP ended a node that had no handler yet, 0.3 s from its start, or none any more, since the interpreter's end restores the defaults; SIGTERM at the end made the exit status -15. Change: handlers before the imports (early_signals.py): a reload is made up for once the node runs, SIGTERM ends a process that starts with status 0; all are ignored once the service has ended.

--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -2,7 +2,11 @@
 
 import sys
 
-from burlmoor.lifecycle.node import main
+from burlmoor.early_signals import early_signals
 
 if __name__ == "__main__":
+    early_signals.install()
+
+    from burlmoor.lifecycle.node import main
+
     sys.exit(main())
--- a/burlmoor/cli/node.py
+++ b/burlmoor/cli/node.py
@@ -11,6 +11,7 @@
 import click
 
 from burlmoor.cli.errors import exit_with_errors
+from burlmoor.early_signals import early_signals
 
 _CONFIG_VARIABLE = "RELAY_CONFIG"
 _OPTIONS_VARIABLE = "BURLMOOR_OPTIONS"
@@ -31,6 +32,7 @@
 @_options_option
 def run(config: Path | None, options: Path | None) -> None:
     """Run one node until it is told to stop (SIGTERM); SIGHUP reads its files again."""
+    early_signals.install()
     _set_variables(config, options)
     from burlmoor.lifecycle.node import main  # noqa: PLC0415 - a check needs no node
 
--- /dev/null
+++ b/burlmoor/early_signals.py
@@ -0,0 +1,53 @@
+"""Signals that reach the process while no service catches them: during its start, and at its very end.
+
+Imported before anything else, since the rest of the program takes a while to import and SIGHUP would end
+the process until then. What comes before the interpreter runs this is up to whoever starts the process: the
+deploy file lets it ignore SIGHUP.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+from types import FrameType
+
+_ENDING = (signal.SIGTERM, signal.SIGINT)
+
+
+class EarlySignals:
+    """Owns the handlers that are in force whenever the service has none of its own."""
+
+    def __init__(self) -> None:
+        self._is_starting = True
+        self._is_reload_requested = False
+
+    def install(self) -> None:
+        """Catch the signals from now on; repeated, it changes nothing."""
+        signal.signal(signal.SIGHUP, self._on_reload)
+        for number in _ENDING:
+            signal.signal(number, self._on_end)
+
+    def _on_reload(self, _number: int, _frame: FrameType | None) -> None:
+        self._is_reload_requested = True
+
+    def _on_end(self, _number: int, _frame: FrameType | None) -> None:
+        # A process that starts has taken nothing; one that has ended its service is about to end.
+        if self._is_starting:
+            os._exit(0)
+
+    def ignore_all(self) -> None:
+        """Ignore the signals: the process ends by itself, and the interpreter would restore the defaults."""
+        for number in (signal.SIGHUP, *_ENDING):
+            signal.signal(number, signal.SIG_IGN)
+
+    def on_configuration_read(self) -> None:
+        """Note that the configuration is read now: what was requested before is done with it."""
+        self._is_reload_requested = False
+
+    def on_service_catches(self) -> bool:
+        """Note that the service catches signals itself; whether a reload was requested before."""
+        self._is_starting = False
+        return self._is_reload_requested
+
+
+early_signals = EarlySignals()
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -23,6 +23,7 @@
 from burlmoor.discovery.schedule import WatchSchedule
 from burlmoor.downstream.drain import DrainController, kill_after_seconds
 from burlmoor.downstream.server import DownstreamServer
+from burlmoor.early_signals import early_signals
 from burlmoor.endpoints.directory import EndpointDirectory
 from burlmoor.engine.engine import Engine
 from burlmoor.lifecycle.connection_limits import divide_sockets
@@ -285,6 +286,8 @@
         async with trio.open_nursery() as nursery:
             node = Node(config, nursery, log)
             node.start()
+            if early_signals.on_service_catches():
+                node.reload(os.environ)
             nursery.start_soon(node.handle_signals, received)
             _freeze_startup_objects()
 
@@ -298,6 +301,8 @@
 
 def main() -> int:
     """Run the node until a signal ends it; return the exit status."""
+    early_signals.install()
+    early_signals.on_configuration_read()
     try:
         config = node_config.load_config(os.environ)
     except node_config.InvalidConfigError as error:
@@ -310,4 +315,5 @@
     except* OSError as group:
         print(f"burlmoor: {group.exceptions[0]}", file=sys.stderr)
         status = 1
+    early_signals.ignore_all()
     return status
--- a/burlmoor/testbed/fleet/child_process.py
+++ b/burlmoor/testbed/fleet/child_process.py
@@ -18,8 +18,10 @@
 import trio
 
 # Runs before the program, in its process. The parent may have died before prctl took effect, hence the check.
+# SIGHUP is ignored until the program catches it, as the deploy file has it.
 _BOOTSTRAP = (
-    "import ctypes, os, sys\n"
+    "import ctypes, os, signal, sys\n"
+    "signal.signal(signal.SIGHUP, signal.SIG_IGN)\n"
     "ctypes.CDLL(None).prctl(1, 9, 0, 0, 0)\n"
     "os.getppid() == int(sys.argv[1]) or os._exit(1)\n"
     "sys.argv[2] and os.sched_setaffinity(0, {int(core) for core in sys.argv[2].split(',')})\n"
