--- a/tests/integration/test_held_up.py
+++ b/tests/integration/test_held_up.py
@@ -16,6 +16,7 @@
 
 CLIENTS = 12
 LEAVE_AFTER_MS = 50.0
+KILL_AFTER_MS = 3700.0  # after SIGTERM, where deadlines are 3 s or more
 
 
 def process_state(pid: int) -> str:
@@ -56,3 +57,29 @@
         assert len(sent) == (0 if do_clients_leave else CLIENTS)
 
     run_with_links(tmp_path, hold_up)
+
+
+@pytest.mark.parametrize("held_up_seconds", [1.5, 3.0])
+def test_a_process_that_was_held_up_across_sigterm_ends_before_it_may_be_killed(
+    tmp_path: Path, held_up_seconds: float
+) -> None:
+    """The platform counts from the signal, whenever the process comes to read it."""
+
+    async def hold_up(cluster: LocalCluster) -> None:
+        node = cluster.nodes[0]
+        await send_jobs(cluster, SEARCH, "aa", 20)
+        await stop_process(node)
+        node.send_signal(signal.SIGTERM)
+        terminated_ms = now_ms()
+        async with trio.open_nursery() as nursery:
+            await trio.sleep(held_up_seconds)
+            node.send_signal(signal.SIGCONT)
+            # Clients use their connections for as long as these stay open.
+            nursery.start_soon(send_jobs, cluster, SEARCH, "bb", 80)
+            assert node.process is not None
+            assert await node.process.wait() == 0
+        assert now_ms() - terminated_ms < KILL_AFTER_MS
+        requests = cluster.event_record.requests.values()
+        assert not [each for each in requests if each.answered_ms is None and not each.is_unsent]
+
+    run_with_links(tmp_path, hold_up)
