--- a/burlmoor/downstream/drain.py
+++ b/burlmoor/downstream/drain.py
@@ -107,10 +107,10 @@
         """Whether operators have drained the node."""
         return self._drain_began_at is not None
 
-    def begin_shutdown(self) -> None:
-        """Begin a graceful shutdown; one that has begun goes on unchanged."""
+    def begin_shutdown(self, seconds_ago: float = 0.0) -> None:
+        """Begin a graceful shutdown as of so many seconds ago; one that has begun goes on unchanged."""
         if self._shutdown_began_at is None:
-            self._shutdown_began_at = trio.current_time()
+            self._shutdown_began_at = trio.current_time() - seconds_ago
 
     def begin_drain(self) -> None:
         """Begin a drain; one that has begun goes on unchanged."""
--- a/burlmoor/engine/engine.py
+++ b/burlmoor/engine/engine.py
@@ -126,11 +126,11 @@
     def answer_by(self, at: float) -> None:
         self._deadlines.answer_by = at
 
-    def answer_all_by(self, at: float) -> None:
-        """Answer all jobs by then, open ones included, whatever their own deadline."""
+    def answer_all_by(self, at: float, received_after: float = -math.inf) -> None:
+        """Answer all jobs by then, whatever their deadline: open ones too, if they were received later."""
         self.answer_by = at
         for job in self.jobs:
-            if not job.is_closed and job.deadline > at:
+            if not job.is_closed and job.received_at > received_after and job.deadline > at:
                 job.deadline = at
                 self._deadlines.schedule(at, job)
         self.wake()
--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -7,6 +7,7 @@
 from burlmoor.clock import Clock
 from burlmoor.downstream.drain import DrainController, ServiceState
 from burlmoor.lifecycle.handover import Handover
+from burlmoor.lifecycle.hold_ups import HoldUpMonitor
 from burlmoor.lifecycle.parts import NodeParts
 from burlmoor.log import EventLogger
 from burlmoor.upstream.attempts import AttemptRunner
@@ -26,6 +27,7 @@
         drain: DrainController,
         handover: Handover,
         clock: Clock,
+        hold_ups: HoldUpMonitor,
         log: EventLogger,
     ) -> None:
         self._parts = parts
@@ -33,21 +35,26 @@
         self._drain = drain
         self._handover = handover
         self._clock = clock
+        self._hold_ups = hold_ups
         self._log = log
 
     async def run(self) -> None:
         """Return once all that was admitted is answered and every answer has been sent."""
         engine = self._parts.engine
-        self._log("stopping", open=engine.open_job_count)
-        self._drain.begin_shutdown()
-        answered_by = self._clock() + 1000.0 * self._drain.answer_within_seconds
+        # Without this, a process that was stopped when the signal came would be killed with jobs open: the
+        # platform counts from the signal.
+        seconds_ago = self._hold_ups.seconds_held_up()
+        self._log("stopping", open=engine.open_job_count, held_up=round(seconds_ago, 2))
+        self._drain.begin_shutdown(seconds_ago)
+        answered_by = self._clock() + 1000.0 * (self._drain.answer_within_seconds - seconds_ago)
         if self._handover.has_handed_over:
             # Clients come to the successor; SIGKILL would lose what is still open here by then.
             engine.answer_all_by(answered_by)
         else:
-            await trio.sleep(_ARRIVAL_SECONDS)
+            late_from = self._clock() + 1000.0 * (_ARRIVAL_SECONDS - seconds_ago)
+            await trio.sleep(max(0.0, _ARRIVAL_SECONDS - seconds_ago))
             # Without this, SIGKILL would lose what came late and is not answered by then (rule 1).
-            engine.answer_by = answered_by
+            engine.answer_all_by(answered_by, received_after=late_from)
             while self._drain.state < ServiceState.REJECTING:  # noqa: ASYNC110 - the state follows from the time
                 await trio.sleep(_POLL_SECONDS)
         await self._finish_work()
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -29,6 +29,7 @@
 from burlmoor.lifecycle.connection_limits import divide_sockets
 from burlmoor.lifecycle.graceful_shutdown import GracefulShutdown
 from burlmoor.lifecycle.handover import Handover
+from burlmoor.lifecycle.hold_ups import HoldUpMonitor
 from burlmoor.lifecycle.parts import NodeParts
 from burlmoor.log import EventLog
 from burlmoor.transport.sockets import adopt_listening_socket, bind_socket, start_listening
@@ -91,8 +92,9 @@
         self.admin = AdminService(self.directory, self.drain, self._state_path("by-hand"), log)
         self._parts = NodeParts(self.engine, self.server, self.pool, self.directory, self.admin)
         self.handover = self._build_handover()
+        self._hold_ups = HoldUpMonitor()
         self._shutdown = GracefulShutdown(
-            self._parts, self.attempts, self.drain, self.handover, self._clock, log
+            self._parts, self.attempts, self.drain, self.handover, self._clock, self._hold_ups, log
         )
         self._deferred: DeferredService | None = None
         self.admin_server = AdminServer(self.admin, config.admin, nursery, log) if config.admin else None
@@ -176,6 +178,7 @@
             self.server.sweep,
             self.close_idle_connections,
             self._log_counts,
+            self._hold_ups.run,
             self._begin_service,
         )
         for task in tasks:
--- a/burlmoor/testbed/fleet/node_processes.py
+++ b/burlmoor/testbed/fleet/node_processes.py
@@ -50,6 +50,7 @@
         self._initial_lists: list[dict[str, Any]] = []
         self._processes: dict[int, ChildProcess] = {}
         self._ended_by_fault: set[int] = set()
+        self._starting: set[int] = set()  # not ready yet
 
     async def __aenter__(self) -> NodeProcesses:
         return self
@@ -98,6 +99,7 @@
         self._discovery.on_node_started(name)
         self._processes[number] = ChildProcess(arguments, folder / "log", environment, cores=self._cores)
         self._ended_by_fault.discard(number)
+        self._starting.add(number)
 
     def _make_config(self, number: int) -> dict[str, Any]:
         plan = self._record.plan
@@ -121,6 +123,7 @@
         while True:
             with suppress(OSError):
                 if (await send_http_request(address, "GET", "/health/ready")).status == _HTTP_OK:
+                    self._starting.discard(number)
                     return
             process = self._processes[number]
             if not process.is_running and number not in self._ended_by_fault:
@@ -167,9 +170,13 @@
             killed_ms = now_ms()
             self._record.fault_intervals.append(FaultInterval("sigkill", name, killed_ms, killed_ms))
             await process.kill()
-        elif process.exit_status:
+        elif process.exit_status and not self._was_terminated_in_its_start(number):
             self._record.unexpected_exits[f"{name} on restart"] = process.exit_status
 
+    def _was_terminated_in_its_start(self, number: int) -> bool:
+        """Whether SIGTERM has ended a node before its program could catch it, when it had taken nothing."""
+        return number in self._starting and self._processes[number].exit_status == -signal.SIGTERM
+
     @staticmethod
     async def _signal_later(
         process: ChildProcess, after_seconds: float, signal_number: signal.Signals
@@ -187,7 +194,7 @@
             self._record.unexpected_exits[f"{name} on {kind}"] = 1
             process.send_signal(signal.SIGKILL)
             await process.wait_until_ended(_KILL_SECONDS)
-        if kind == "term" and process.exit_status:
+        if kind == "term" and process.exit_status and not self._was_terminated_in_its_start(number):
             self._record.unexpected_exits[f"{name} on term"] = process.exit_status
 
     def record_resource_usage(self) -> None:
@@ -216,5 +223,5 @@
         name = self.names[number]
         if not await process.wait_until_ended(STOP_SECONDS):
             self._record.unexpected_exits[f"{name} at the end"] = 1
-        elif process.exit_status:
+        elif process.exit_status and not self._was_terminated_in_its_start(number):
             self._record.unexpected_exits.setdefault(name, process.exit_status)
