Retry a job from an endpoint never heard of at the last moment that is of use; mend the testbed's start

Change: such an attempt is given up at the last moment at which another endpoint can still serve the job. Children inherit that SIGHUP is ignored. The testbed also counts a job as received when it is read, and excuses idle connections that a crowd closed.

--- a/burlmoor/policy/retries.py
+++ b/burlmoor/policy/retries.py
@@ -45,30 +45,45 @@
 
     def _check_attempt(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> None:
         attempt.check_at = now + self._sender.max_silence_ms
-        if attempt.started_at is not None or attempt.is_overdue:
+        if attempt.started_at is None and not attempt.is_overdue:
+            self._note_overdue(job, attempt, now)
+        elif attempt.started_at is None and attempt.latest_retry_at is not None:
+            attempt.latest_retry_at = None
+            self._redistribute_unstarted(job, attempt, now)
+        else:
             self._measured.record_attempt_end(attempt.endpoint, False, now)
             self._context.warn("silent executors: moving repeatable work away", now)
             reason = GiveUpReason.OVERDUE if attempt.started_at is None else GiveUpReason.SILENT
             self._redistribute(job, attempt, reason, now)
-            return
-        # Not started by now: it waits behind others. Nothing more is sent there until it starts.
+
+    def _note_overdue(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> None:
+        """Send nothing more to the endpoint until the attempt starts, which waits behind others there."""
+        endpoint = attempt.endpoint
+        retry_ms = attempt.expected_ms + self._measured.start_grace(endpoint.zone)
         attempt.is_overdue = True
-        attempt.endpoint.overdue_attempts += 1
-        self._measured.record_start_delay(attempt.endpoint, now - attempt.sent_at, now, has_started=False)
-        if self._may_redistribute_unstarted(job, attempt, now):
+        endpoint.overdue_attempts += 1
+        self._measured.record_start_delay(endpoint, now - attempt.sent_at, now, has_started=False)
+        if endpoint.is_silent_since(now - SILENT_ENDPOINT_MS):
+            self._redistribute_unstarted(job, attempt, now)
+        elif not endpoint.has_been_heard_of() and now < job.useful_until - retry_ms:
+            # It may be far away, or not work: wait for it while another could still serve the job after it.
+            attempt.latest_retry_at = job.useful_until - retry_ms
+            attempt.check_at = min(attempt.check_at, attempt.latest_retry_at)
+
+    def _redistribute_unstarted(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> None:
+        if self._may_redistribute_unstarted(job, now):
             self._sender.redistribution_tokens -= 1.0
             self._redistribute(job, attempt, GiveUpReason.OVERDUE, now)
 
-    def _may_redistribute_unstarted(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> bool:
+    def _may_redistribute_unstarted(self, job: ScheduledJob, now: float) -> bool:
         """Return whether an attempt that has not started may be made elsewhere.
 
         Without these limits redistribution feeds an overload, since the job may run at both endpoints: it is
-        for few jobs, while prompt starts are to be had, and away from endpoints that report nothing.
+        for few jobs, and while prompt starts are to be had.
         """
         prompt_rate = self._measured.prompt_start_rate.read(now, EVIDENCE_HALF_LIFE_MS, 1.0)
         return (
             prompt_rate * self._limits.max_attempts > 1.0
-            and attempt.endpoint.is_silent_since(now - SILENT_ENDPOINT_MS)
             and self._sender.redistribution_tokens >= 1.0
             and job.job_class.idempotency is Idempotency.IDEMPOTENT
         )
--- a/burlmoor/stats/endpoint.py
+++ b/burlmoor/stats/endpoint.py
@@ -55,6 +55,10 @@
         """
         return self.last_heard_at < moment and self.first_sent_at < moment
 
+    def has_been_heard_of(self) -> bool:
+        """Return whether it has ever reported anything to this process."""
+        return self.last_heard_at > -math.inf
+
     def is_available(self) -> bool:
         """Return whether it is listed as live and none of this node's attempts waits for its start."""
         return self.is_live and not self.overdue_attempts
--- a/burlmoor/testbed/executor.py
+++ b/burlmoor/testbed/executor.py
@@ -138,16 +138,19 @@
 
     async def _serve(self, node: str, stream: HttpStream) -> None:
         while (message := await stream.read()) is not None:
+            received_ms = now_ms()
             await self._resumed.wait()
             if message.method == "DELETE":
                 self._cancel(message.path.rsplit("/", 1)[-1])
                 await stream.write("HTTP/1.1 204 No Content")
             elif message.method == "GET":
                 await stream.write("HTTP/1.1 200 OK")
-            elif not await self._serve_job(node, stream, message):
+            elif not await self._serve_job(node, stream, message, received_ms):
                 return
 
-    async def _serve_job(self, node: str, stream: HttpStream, message: HttpMessage) -> bool:
+    async def _serve_job(
+        self, node: str, stream: HttpStream, message: HttpMessage, received_ms: float
+    ) -> bool:
         """Answer the request for one job; false where the connection is not used any more."""
         request_id = message.headers.get("request-id", "")
         if request_id not in self._event_record.requests:
@@ -157,7 +160,7 @@
             return True
         parameters = json.loads(message.body)
         attempt = AttemptRecord(
-            request_id, message.path.split("/")[1], self.name, now_ms(), node=node,
+            request_id, message.path.split("/")[1], self.name, received_ms, node=node,
             work_ms=parameters["work"], slots=int(parameters.get("slots", 1)),
         )  # fmt: skip
         self._event_record.attempts.append(attempt)
--- a/burlmoor/testbed/fleet/audit_answers.py
+++ b/burlmoor/testbed/fleet/audit_answers.py
@@ -77,8 +77,10 @@
         if is_stopping and _may_be_unread(request):
             # Written to an idle connection at the moment at which a terminating node closed it.
             return "never taken by a node that stopped"
-        if self._crowded.overlap(node, sent_ms, deadline_ms) and request.was_reused is False:
-            return "a new connection was closed unread in a crowd"
+        # Closed to make room: a new connection, or an idle one as the request was written to it.
+        may_make_room = request.was_reused is False or _may_be_unread(request)
+        if may_make_room and self._crowded.overlap(node, sent_ms, deadline_ms):
+            return "its connection was closed unread in a crowd"
         return self._excuse_of_kill_in_restart(request)
 
     def _excuse_of_kill_in_restart(self, request: RequestRecord) -> str | None:
--- a/burlmoor/testbed/fleet/child_process.py
+++ b/burlmoor/testbed/fleet/child_process.py
@@ -10,18 +10,16 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Sequence
-from contextlib import suppress
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 import msgspec
 import trio
 
 # Runs before the program, in its process. The parent may have died before prctl took effect, hence the check.
-# SIGHUP is ignored until the program catches it, as the deploy file has it.
 _BOOTSTRAP = (
-    "import ctypes, os, signal, sys\n"
-    "signal.signal(signal.SIGHUP, signal.SIG_IGN)\n"
+    "import ctypes, os, sys\n"
     "ctypes.CDLL(None).prctl(1, 9, 0, 0, 0)\n"
     "os.getppid() == int(sys.argv[1]) or os._exit(1)\n"
     "sys.argv[2] and os.sched_setaffinity(0, {int(core) for core in sys.argv[2].split(',')})\n"
@@ -30,6 +28,19 @@
 _KILL_SECONDS = 5.0  # until a process that got SIGKILL must be over
 
 
+@contextmanager
+def _ignored_by_children(number: signal.Signals) -> Iterator[None]:
+    """Let processes that are started in the meantime ignore a signal, from their first moment on.
+
+    So the deploy file has it for SIGHUP. The kernel passes on to a child that a signal is ignored.
+    """
+    before = signal.signal(number, signal.SIG_IGN)
+    try:
+        yield
+    finally:
+        signal.signal(number, before)
+
+
 class ChildProcess:
     """Owns one Python process, which starts at once.
 
@@ -48,7 +59,7 @@
     ) -> None:
         core_list = ",".join(map(str, sorted(cores)))
         bootstrap = [sys.executable, "-I", "-S", "-c", _BOOTSTRAP, str(os.getpid()), core_list]
-        with log.open("ab") as log_file:
+        with log.open("ab") as log_file, _ignored_by_children(signal.SIGHUP):
             self._process = subprocess.Popen(
                 [*bootstrap, sys.executable, *arguments],
                 stdin=subprocess.PIPE if has_pipes else subprocess.DEVNULL,
--- a/burlmoor/testbed/http_stream.py
+++ b/burlmoor/testbed/http_stream.py
@@ -81,14 +81,14 @@
         await self.socket_stream.send_all(f"{start_line}\r\n{head}\r\n".encode() + body)
 
     def has_peer_ended(self) -> bool:
-        """Whether the peer has closed or reset the connection, and nothing that it wrote is unread."""
-        with socket.socket(fileno=os.dup(self.socket_stream.socket.fileno())) as sock:
-            try:
+        """Whether the connection has ended, and nothing that the peer wrote is unread."""
+        try:
+            with socket.socket(fileno=os.dup(self.socket_stream.socket.fileno())) as sock:
                 return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-            except BlockingIOError:
-                return False
-            except OSError:
-                return True
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True  # reset, or closed on this side
 
     def close(self) -> None:
         """Close the connection."""
--- a/burlmoor/testbed/mutations.py
+++ b/burlmoor/testbed/mutations.py
@@ -194,6 +194,19 @@
     ListLease.__init__ = build_confirmed  # type: ignore[method-assign]
 
 
+def _hasty() -> None:
+    """An attempt counts as over once it is given up, before its endpoint has heard of that."""
+    from burlmoor.engine.attempt_controller import AttemptController  # noqa: PLC0415
+
+    give_up = AttemptController.give_up
+
+    def give_up_and_end(self: AttemptController, attempt: Any, *rest: Any) -> None:
+        give_up(self, attempt, *rest)
+        self._end_given_up(attempt)
+
+    AttemptController.give_up = give_up_and_end  # type: ignore[assignment, method-assign]
+
+
 Sabotages = dict[str, Callable[[], None]]
 
 OF_WAITING: Sabotages = {
@@ -210,7 +223,12 @@
     "no-ageing": _no_ageing,
 }
 OF_WATCH: Sabotages = {"late-watch": _late_watch, "slow-again": _slow_again, "undrained": _undrained}
-OF_SOAK: Sabotages = {"keep-sent": _keep_sent, "old-list": _old_list, "undrained": _undrained}
+OF_SOAK: Sabotages = {
+    "keep-sent": _keep_sent,
+    "old-list": _old_list,
+    "undrained": _undrained,
+    "hasty": _hasty,
+}
 SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD | OF_WATCH | OF_SOAK
 
 
--- a/tests/policy/test_safety_rules.py
+++ b/tests/policy/test_safety_rules.py
@@ -181,6 +181,21 @@
     assert not driver.actions_of(CancelAttempt, 7)
 
 
+def test_an_endpoint_that_was_never_heard_of_is_given_up_while_another_can_still_serve_the_job() -> None:
+    limits = Limits(max_attempts=4, may_cancel=True, may_hedge=False)
+    driver = DispatcherDriver(settings(limits=limits))
+    send = driver.request_and_place(7, work_ms=20.0)
+    sent_at = driver.now
+    while not (cancels := driver.actions_of(CancelAttempt, 7)):
+        assert not driver.actions_of(RejectJob, 7)
+        driver.run(10.0)
+    assert cancels == [CancelAttempt(7, 0, GiveUpReason.OVERDUE)]
+    assert driver.now - sent_at > 150.0
+    driver.end_attempt(send, Outcome.CANCELLED)
+    driver.run(20.0)
+    assert len(driver.actions_of(StartAttempt, 7)) == 2
+
+
 def test_two_attempts_are_never_pending_together_where_hedging_is_not_allowed() -> None:
     limits = Limits(max_attempts=4, may_cancel=True, may_hedge=False)
     driver = DispatcherDriver(settings(limits=limits))
--- a/tests/testbed/fleet/test_runs.py
+++ b/tests/testbed/fleet/test_runs.py
@@ -85,6 +85,19 @@
     assert alive == []
 
 
+def test_a_child_process_ignores_sighup_from_its_first_moment(tmp_path: Path) -> None:
+    async def run() -> None:
+        process = ChildProcess(["-c", "import time; time.sleep(60)"], tmp_path / "log")
+        for _ in range(200):
+            process.send_signal(signal.SIGHUP)
+            await trio.sleep(0.001)
+        assert process.is_running
+        await process.kill()
+
+    trio.run(run)
+    assert signal.getsignal(signal.SIGHUP) is signal.SIG_DFL
+
+
 def test_a_child_process_has_the_exit_status_of_the_signal_that_ended_it(tmp_path: Path) -> None:
     async def terminate() -> int | None:
         process = ChildProcess(["-c", "import time; time.sleep(60)"], tmp_path / "log")
