--- a/tests/testbed/fleet/test_audit.py
+++ b/tests/testbed/fleet/test_audit.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 import pytest
 
 from burlmoor.testbed.fleet.audit import audit
@@ -38,6 +39,45 @@
     record.requests[5].status = 503
 
 
+def have_two_attempts_out(record: RunRecord) -> None:
+    record.plan = msgspec.structs.replace(record.plan, hedging=False)
+    first, second = record.attempts[5], record.attempts[6]
+    second.id = first.id
+    first.ended_ms = None
+    first.given_up_ms = second.received_ms + 1.0
+
+
+def lose_in_restart(record: RunRecord, sent_after_term_ms: float) -> None:
+    """A node loses a job to SIGKILL at the end of a restart."""
+    leave_unanswered(record)
+    term_ms = record.requests[5].sent_ms - sent_after_term_ms
+    kill_ms = record.requests[5].sent_ms + 100.0
+    record.fault_intervals = [
+        FaultInterval("restart", "n000", term_ms, kill_ms + 1000.0),
+        FaultInterval("sigkill", "n000", kill_ms, kill_ms),
+    ]
+
+
+def lose_what_is_owed_in_restart(record: RunRecord) -> None:
+    lose_in_restart(record, 800.0)
+
+
+def lose_on_used_connection_in_crowd(record: RunRecord) -> None:
+    crowd(record)
+    record.requests[5].was_reused = True
+    record.requests[5].closed_ms = record.requests[5].sent_ms + 300.0
+
+
+def crowd(record: RunRecord) -> None:
+    """A node closes a connection unread for want of descriptors."""
+    leave_unanswered(record)
+    del record.attempts[5]
+    sent_ms = record.requests[5].sent_ms
+    record.requests[5].status = 0
+    record.requests[5].was_reused = False
+    record.fault_intervals = [FaultInterval("crowd", "n000", sent_ms - 10.0, sent_ms + 10.0)]
+
+
 def run_unknown_job(record: RunRecord) -> None:
     record.attempts[5].id = "x"
 
@@ -64,6 +104,9 @@
         (answer_with_another_result, "no executor made"),
         (start_non_idempotent_job_twice, "started 2 times"),
         (reject_job_that_ran, "retry does no harm"),
+        (have_two_attempts_out, "2 attempts out at once, 1 allowed"),
+        (lose_what_is_owed_in_restart, "no answer"),
+        (lose_on_used_connection_in_crowd, "no answer"),
         (run_unknown_job, "no client sent"),
         (send_to_draining_executor, "was notified that s-1 drains"),
         (flood_executor_in_slow_start, "of its budget"),
@@ -76,13 +119,29 @@
     assert any(message in violation for violation in audit(record).violations)
 
 
-def test_only_what_the_schedule_caused_is_excused() -> None:
-    record = make_even_run()
+def kill_node(record: RunRecord) -> None:
     leave_unanswered(record)
     sent_ms = record.requests[5].sent_ms
     record.fault_intervals = [FaultInterval("kill", "n000", sent_ms + 10.0, sent_ms + 20.0)]
+
+
+def lose_early_in_restart(record: RunRecord) -> None:
+    lose_in_restart(record, 600.0)
+
+
+@pytest.mark.parametrize(
+    ("lose", "excuse"),
+    [
+        (kill_node, "its node was killed"),
+        (lose_early_in_restart, "its node was killed at the end of a restart"),
+        (crowd, "its connection was closed unread in a crowd"),
+    ],
+)
+def test_only_what_the_schedule_caused_is_excused(lose: Callable[[RunRecord], None], excuse: str) -> None:
+    record = make_even_run()
+    lose(record)
     result = audit(record)
     assert result.violations == []
-    assert result.excused == {"its node was killed": 1}
+    assert result.excused == {excuse: 1}
     record.requests[5].node = 1
     assert audit(record).violations
