--- a/benchmarks/sampled.py
+++ b/benchmarks/sampled.py
@@ -50,7 +50,7 @@
             own_counts[frame.f_code.co_filename, frame.f_code.co_qualname] += 1
             stack_counts.update(_functions_on_stack(frame))
 
-    from burlmoor.lifecycle.node import main as run_node  # noqa: PLC0415
+    from burlmoor.lifecycle.process import main as run_node  # noqa: PLC0415
 
     signal.signal(signal.SIGPROF, sample)
     signal.setitimer(signal.ITIMER_PROF, _INTERVAL_SECONDS, _INTERVAL_SECONDS)
--- a/burlmoor/__main__.py
+++ b/burlmoor/__main__.py
@@ -7,6 +7,6 @@
 if __name__ == "__main__":
     early_signals.install()
 
-    from burlmoor.lifecycle.node import main
+    from burlmoor.lifecycle.process import main
 
     sys.exit(main())
--- a/burlmoor/cli/node.py
+++ b/burlmoor/cli/node.py
@@ -34,7 +34,7 @@
     """Run one node until it is told to stop (SIGTERM); SIGHUP reads its files again."""
     early_signals.install()
     _set_variables(config, options)
-    from burlmoor.lifecycle.node import main  # noqa: PLC0415 - a check needs no node
+    from burlmoor.lifecycle.process import main  # noqa: PLC0415 - a check needs no node
 
     sys.exit(main())
 
--- a/burlmoor/counters.py
+++ b/burlmoor/counters.py
@@ -14,7 +14,7 @@
 
     JOBS = "jobs"  # by answer and reason
     RETRIES = "retries"  # attempts after the first, by the outcome of the one before
-    GIVE_UPS = "give-ups"  # attempts that the node gave up, by reason
+    CANCELS = "cancels"  # attempts that the node cancelled, by reason
     CLIENT_CLOSES = "client-closes"  # connections of clients and call-backs, by reason
     ENDPOINT_CLOSES = "endpoint-closes"  # connections to endpoints, by reason
 
--- a/burlmoor/early_signals.py
+++ b/burlmoor/early_signals.py
@@ -1,8 +1,8 @@
 """Signals that reach the process while no service catches them: during its start, and at its very end.
 
 Imported before anything else, since the rest of the program takes a while to import and SIGHUP would end
-the process until then. What comes before the interpreter runs this is up to whoever starts the process: the
-deploy file lets it ignore SIGHUP.
+the process until then. What comes before the interpreter runs this is up to the command that starts the
+process: the deploy file lets it ignore SIGHUP.
 """
 
 from __future__ import annotations
--- a/burlmoor/endpoints/outcomes.py
+++ b/burlmoor/endpoints/outcomes.py
@@ -26,7 +26,7 @@
         endpoint = attempt.endpoint
         delay_ms = now - attempt.sent_at
         attempt.started_at = now
-        endpoint.last_heard_at = now
+        endpoint.last_reported_at = now
         attempt.clear_overdue()
         self._statistics.endpoints.record_start_delay(endpoint, delay_ms, now)
         if delay_ms <= self._statistics.endpoints.start_grace(endpoint.zone):
@@ -36,7 +36,7 @@
         self, job: ScheduledJob, attempt: ScheduledAttempt, fraction: float, now: float
     ) -> None:
         """Record that a running job has done this fraction of its work."""
-        attempt.endpoint.last_heard_at = now
+        attempt.endpoint.last_reported_at = now
         if attempt.started_at is not None and fraction > 0.0:
             run_ms = (now - attempt.started_at) / min(1.0, fraction)
             self._statistics.endpoints.record_run(attempt.endpoint, job.work_ms, run_ms, now, PROGRESS_WEIGHT)
@@ -49,13 +49,13 @@
             measured.record_start_delay(endpoint, now - attempt.sent_at, now, has_started=False)
         attempt.clear_overdue()
         if attempt.outcome is Outcome.SERVED:
-            endpoint.last_heard_at = now
+            endpoint.last_reported_at = now
             self._outliers.record_success(endpoint)
             self._record_served(job, attempt, elapsed_ms, now)
         elif attempt.outcome is Outcome.OVERLOADED:
             measured.record_overload(endpoint, now)
             self._recently_freed.discard(endpoint)
-        elif attempt.outcome is not None and not attempt.is_given_up:
+        elif attempt.outcome is not None and not attempt.is_cancelling:
             self.record_fault(attempt, attempt.outcome, now)
 
     def record_fault(self, attempt: ScheduledAttempt, outcome: Outcome, now: float) -> None:
@@ -65,7 +65,7 @@
             self._outliers.record_fault(endpoint, now)
             self._statistics.endpoints.record_attempt_end(endpoint, False, now)
         elif outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
-            is_silent = endpoint.last_heard_at < attempt.sent_at
+            is_silent = endpoint.last_reported_at < attempt.sent_at
             if is_silent and now - attempt.sent_at > MIN_SILENT_MS:
                 self._outliers.record_fault(endpoint, now)
 
--- a/burlmoor/engine/action_executor.py
+++ b/burlmoor/engine/action_executor.py
@@ -64,7 +64,7 @@
             case FailJob():
                 self._answer(action.id, Failed(), action.reason)
             case CancelAttempt():
-                self._attempts.cancel(action, now)
+                self._attempts.cancel_by_policy(action, now)
             case SetTimer():
                 self._policy.set_timer(now + max(0.0, action.delay_ms), action.token)
             case WatchEndpoints():
--- a/burlmoor/engine/attempt_controller.py
+++ b/burlmoor/engine/attempt_controller.py
@@ -12,9 +12,9 @@
 from burlmoor.engine.job_registry import JobRegistry
 from burlmoor.engine.policy_driver import PolicyDriver
 from burlmoor.types.actions import CancelAttempt, StartAttempt
-from burlmoor.types.events import AttemptEnded, AttemptGivenUp, AttemptProgressed, AttemptStarted
+from burlmoor.types.events import AttemptCancelling, AttemptEnded, AttemptProgressed, AttemptStarted
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import GiveUpReason
+from burlmoor.types.reasons import CancelReason
 
 
 class AttemptController:
@@ -58,14 +58,14 @@
             self._job_log.on_attempt_started(attempt)
             self._upstream.start_attempt(attempt)
 
-    def cancel(self, action: CancelAttempt, now: float) -> None:
+    def cancel_by_policy(self, action: CancelAttempt, now: float) -> None:
         """Cancel an attempt as the policy asks."""
         job = self._jobs.find_by_number(action.id)
         if job is not None and 0 <= action.attempt < len(job.attempts):
-            reason = action.reason or GiveUpReason.JOB_OVER
-            self.give_up(job.attempts[action.attempt], Outcome.CANCELLED, reason, now)
+            reason = action.reason or CancelReason.JOB_OVER
+            self.cancel_attempt(job.attempts[action.attempt], Outcome.CANCELLED, reason, now)
 
-    def give_up(self, attempt: Attempt, outcome: Outcome, reason: GiveUpReason, now: float) -> None:
+    def cancel_attempt(self, attempt: Attempt, outcome: Outcome, reason: CancelReason, now: float) -> None:
         """Give an attempt up; it ends once its endpoint is known not to hold the job any more.
 
         Without the wait, the job could be sent again while the first endpoint runs it: it may have accepted
@@ -73,29 +73,29 @@
         """
         if attempt.has_ended:
             return
-        is_first = not attempt.is_given_up
+        is_first = not attempt.is_cancelling
         if is_first:
-            attempt.given_up_as = outcome
-            self._job_log.on_attempt_given_up(attempt, reason, now)
+            attempt.cancelled_as = outcome
+            self._job_log.on_attempt_cancelled(attempt, reason, now)
         job = attempt.job
         if job.is_closed or job.is_non_idempotent:
-            self._end_given_up(attempt)  # it is not sent again in any case
+            self._end_cancelled(attempt)  # it is not sent again in any case
         elif is_first:
-            self._policy.post(AttemptGivenUp(job.number, attempt.number, attempt.endpoint, outcome))
+            self._policy.post(AttemptCancelling(job.number, attempt.number, attempt.endpoint, outcome))
         self._upstream.cancel_attempt(attempt)
 
-    def _end_given_up(self, attempt: Attempt) -> None:
-        if attempt.given_up_as is not None:
-            self.end(attempt, attempt.given_up_as)
+    def _end_cancelled(self, attempt: Attempt) -> None:
+        if attempt.cancelled_as is not None:
+            self.end(attempt, attempt.cancelled_as)
 
     def on_job_closed(self, job: Job) -> None:
-        """End the attempts that are given up: their job is not sent again."""
+        """End the attempts that are cancelled: their job is not sent again."""
         for attempt in job.open_attempts():
-            self._end_given_up(attempt)
+            self._end_cancelled(attempt)
 
     def on_cancelled(self, attempt: Attempt) -> None:
         """Note that the endpoint can't hold the job any more."""
-        self.end(attempt, attempt.given_up_as or Outcome.CANCELLED)
+        self.end(attempt, attempt.cancelled_as or Outcome.CANCELLED)
 
     def expire(self, now: float) -> list[Job]:
         """Time out the attempts that are due, and all attempts of the jobs that are due.
@@ -118,9 +118,9 @@
         if attempt.has_ended:
             return
         if now < attempt.job.deadline:
-            self.give_up(attempt, Outcome.TIMEOUT, GiveUpReason.OUT_OF_TIME, now)
+            self.cancel_attempt(attempt, Outcome.TIMEOUT, CancelReason.OUT_OF_TIME, now)
             return
-        self._job_log.on_attempt_given_up(attempt, GiveUpReason.OUT_OF_TIME, now)
+        self._job_log.on_attempt_cancelled(attempt, CancelReason.OUT_OF_TIME, now)
         self.end(attempt, Outcome.TIMEOUT)
         self._upstream.cancel_attempt(attempt)
 
--- a/burlmoor/engine/engine.py
+++ b/burlmoor/engine/engine.py
@@ -37,7 +37,7 @@
     JobRequest,
 )
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import EndReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, EndReason
 from burlmoor.types.settings import Idempotency, Settings
 
 
@@ -218,9 +218,9 @@
         """Note how an attempt ended; for one that has ended already this changes nothing."""
         self._attempts.end(attempt, outcome, result)
 
-    def give_up_attempt(self, attempt: Attempt, outcome: Outcome, reason: GiveUpReason) -> None:
-        """Give up an attempt that upstream cannot go on with; upstream is asked to cancel it."""
-        self._attempts.give_up(attempt, outcome, reason, self.clock())
+    def cancel_attempt(self, attempt: Attempt, outcome: Outcome, reason: CancelReason) -> None:
+        """Cancel an attempt that upstream cannot go on with; upstream is asked to cancel it."""
+        self._attempts.cancel_attempt(attempt, outcome, reason, self.clock())
 
     def on_attempt_cancelled(self, attempt: Attempt) -> None:
         """Note that the endpoint has confirmed the cancel, or can't hold the job any more."""
--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -8,7 +8,7 @@
 from burlmoor.engine.interfaces import Responder
 from burlmoor.types.events import JobRequest
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import EndReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, EndReason
 
 
 @dataclass(slots=True, eq=False)
@@ -21,13 +21,13 @@
     sent_at: float
     deadline: float
     outcome: Outcome | None = None  # None until the attempt has ended
-    given_up_as: Outcome | None = None  # the outcome once its endpoint is known not to hold the job
+    cancelled_as: Outcome | None = None  # the outcome once its endpoint is known not to hold the job
     address: str = ""  # where upstream has sent it
     written_at: float | None = None  # the last byte of its request
     accepted_at: float | None = None  # the endpoint's 202
     started_at: float | None = None  # the endpoint has reported that the job runs
-    given_up_at: float | None = None
-    give_up_reason: GiveUpReason | None = None
+    cancelled_at: float | None = None
+    cancel_reason: CancelReason | None = None
     ended_at: float | None = None
 
     @property
@@ -36,14 +36,14 @@
         return self.outcome is not None
 
     @property
-    def is_given_up(self) -> bool:
+    def is_cancelling(self) -> bool:
         """Whether the node has given it up; its endpoint may hold the job until it has ended."""
-        return self.given_up_as is not None
+        return self.cancelled_as is not None
 
     @property
     def is_over(self) -> bool:
         """Whether nothing more is to be done for it but to cancel it."""
-        return self.has_ended or self.is_given_up
+        return self.has_ended or self.is_cancelling
 
 
 @dataclass(slots=True, eq=False)
--- a/burlmoor/engine/job_log.py
+++ b/burlmoor/engine/job_log.py
@@ -12,7 +12,7 @@
 from burlmoor.engine.job import Attempt, Job
 from burlmoor.log import EventLogger
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import EndReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, EndReason
 
 _ANSWER_NAMES: dict[type[FinalAnswer] | None, str] = {
     Served: "served",
@@ -47,12 +47,12 @@
             outcome = attempt.job.attempts[attempt.number - 1].outcome
             self._counters.count(CounterGroup.RETRIES, _HEDGED if outcome is None else outcome.value)
 
-    def on_attempt_given_up(self, attempt: Attempt, reason: GiveUpReason, now: float) -> None:
+    def on_attempt_cancelled(self, attempt: Attempt, reason: CancelReason, now: float) -> None:
         """Note why the node gave an attempt up; the first reason counts."""
-        if attempt.give_up_reason is None:
-            attempt.give_up_reason = reason
-            attempt.given_up_at = now
-            self._counters.count(CounterGroup.GIVE_UPS, reason.value)
+        if attempt.cancel_reason is None:
+            attempt.cancel_reason = reason
+            attempt.cancelled_at = now
+            self._counters.count(CounterGroup.CANCELS, reason.value)
 
     def on_job_over(self, job: Job) -> None:
         """Write the line of a job that is closed and none of whose attempts is open any more."""
@@ -72,7 +72,7 @@
     if len(job.attempts) != 1:
         return False
     attempt = job.attempts[0]
-    return attempt.outcome is Outcome.SERVED and attempt.give_up_reason is None and job.end_reason is None
+    return attempt.outcome is Outcome.SERVED and attempt.cancel_reason is None and job.end_reason is None
 
 
 def _since(job: Job, at: float) -> float:
@@ -86,13 +86,13 @@
         "written": attempt.written_at,
         "accepted": attempt.accepted_at,
         "started": attempt.started_at,
-        "given_up": attempt.given_up_at,
+        "cancelled": attempt.cancelled_at,
         "ended": attempt.ended_at,
     }
     described: dict[str, Any] = {"target": attempt.endpoint}
     described |= {name: _since(attempt.job, at) for name, at in moments.items() if at is not None}
-    if attempt.give_up_reason is not None:
-        described["give_up"] = attempt.give_up_reason.value
+    if attempt.cancel_reason is not None:
+        described["cancel"] = attempt.cancel_reason.value
     if attempt.outcome is not None:
         described["outcome"] = attempt.outcome.value
     return described
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -1,12 +1,10 @@
-"""One node as a process: builds its parts, runs them in one nursery, reloads and ends it in order."""
+"""One node: builds its parts, runs them in one nursery, and ends it in order."""
 
 from __future__ import annotations
 
-import gc
 import os
 import random
 import signal
-import sys
 from collections.abc import AsyncIterator, Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -23,7 +21,6 @@
 from burlmoor.discovery.schedule import WatchSchedule
 from burlmoor.downstream.drain import DrainController, kill_after_seconds
 from burlmoor.downstream.server import DownstreamServer
-from burlmoor.early_signals import early_signals
 from burlmoor.endpoints.directory import EndpointDirectory
 from burlmoor.engine.engine import Engine
 from burlmoor.lifecycle.connection_limits import divide_sockets
@@ -31,6 +28,7 @@
 from burlmoor.lifecycle.handover import Handover
 from burlmoor.lifecycle.hold_ups import HoldUpMonitor
 from burlmoor.lifecycle.parts import NodeParts
+from burlmoor.lifecycle.reload import ConfigReloader
 from burlmoor.log import EventLog
 from burlmoor.transport.sockets import adopt_listening_socket, bind_socket, start_listening
 from burlmoor.upstream.attempts import AttemptRunner
@@ -53,16 +51,6 @@
 _DISCOVERY_SEED_OFFSET = 1
 _DEFERRED_SEED_OFFSET = 2
 
-# Fields of the configuration that take effect at a start only, by the names that the log gives them.
-_RESTART_FIELDS = {
-    "name": "name",
-    "listen": "listen",
-    "control": "admin",
-    "seed": "seed",
-    "sockets": "max_sockets",
-    "settings": "settings",
-}
-
 
 class Node:
     """Builds and owns the parts of one running node."""
@@ -96,6 +84,7 @@
         self._shutdown = GracefulShutdown(
             self._parts, self.attempts, self.drain, self.handover, self._clock, self._hold_ups, log
         )
+        self._reloader = ConfigReloader(config, self.directory, self.discovery, log)
         self._deferred: DeferredService | None = None
         self.admin_server = AdminServer(self.admin, config.admin, nursery, log) if config.admin else None
 
@@ -256,23 +245,9 @@
 
     def reload(self, environment: Mapping[str, str]) -> None:
         """Apply what a new configuration changes while the node runs; jobs and statistics stay."""
-        try:
-            new = node_config.load_config(environment, again=True)
-        except Exception as error:  # noqa: BLE001
-            # Without this, an invalid configuration would end the node: the old one stays in force.
-            self._log("reload-failed", error=str(error))
-            return
-        if self.directory.version is None and new.cached_endpoints is not None:
-            self.directory.load_cached(new.cached_endpoints)
-        self.discovery.set_address(new.discovery)
-        self._apply_options(new.options)
-        # The cached list is older than what discovery has sent since; the rest is built in at the start.
-        needs_restart = [
-            field
-            for field, attribute in _RESTART_FIELDS.items()
-            if getattr(new, attribute) != getattr(self._config, attribute)
-        ]
-        self._log("reloaded", discovery=new.discovery, needs_restart=needs_restart)
+        new = self._reloader.reload(environment)
+        if new is not None:
+            self._apply_options(new.options)
 
     async def shut_down(self) -> None:
         """Finish what was admitted, then end the node; a shutdown that has begun goes on unchanged."""
@@ -280,43 +255,3 @@
             return
         await self._shutdown.run()
         self._nursery.cancel_scope.cancel()
-
-
-async def _serve(config: node_config.NodeConfig, log: EventLog) -> None:
-    # The signals are caught before the node listens: uncaught, SIGHUP would end it with all its jobs.
-    signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with signals as received:
-        async with trio.open_nursery() as nursery:
-            node = Node(config, nursery, log)
-            node.start()
-            if early_signals.on_service_catches():
-                node.reload(os.environ)
-            nursery.start_soon(node.handle_signals, received)
-            _freeze_startup_objects()
-
-
-def _freeze_startup_objects() -> None:
-    """Exempt all that is built so far from garbage collection, which keeps its pauses short."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 20)
-
-
-def main() -> int:
-    """Run the node until a signal ends it; return the exit status."""
-    early_signals.install()
-    early_signals.on_configuration_read()
-    try:
-        config = node_config.load_config(os.environ)
-    except node_config.InvalidConfigError as error:
-        for line in str(error).splitlines():
-            print(f"burlmoor: {line}", file=sys.stderr)
-        return 2
-    status = 0
-    try:
-        trio.run(_serve, config, EventLog(config.name))
-    except* OSError as group:
-        print(f"burlmoor: {group.exceptions[0]}", file=sys.stderr)
-        status = 1
-    early_signals.ignore_all()
-    return status
--- /dev/null
+++ b/burlmoor/lifecycle/process.py
@@ -0,0 +1,55 @@
+"""The process of one node: reads its configuration, runs the node until a signal ends it."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+
+import trio
+
+from burlmoor.config import node_config
+from burlmoor.early_signals import early_signals
+from burlmoor.lifecycle.node import Node
+from burlmoor.log import EventLog
+
+
+async def _serve(config: node_config.NodeConfig, log: EventLog) -> None:
+    # The signals are caught before the node listens: uncaught, SIGHUP would end it with all its jobs.
+    signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with signals as received:
+        async with trio.open_nursery() as nursery:
+            node = Node(config, nursery, log)
+            node.start()
+            if early_signals.on_service_catches():
+                node.reload(os.environ)
+            nursery.start_soon(node.handle_signals, received)
+            _freeze_startup_objects()
+
+
+def _freeze_startup_objects() -> None:
+    """Exempt all that is built so far from garbage collection, which keeps its pauses short."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
+
+
+def main() -> int:
+    """Run the node until a signal ends it; return the exit status."""
+    early_signals.install()
+    early_signals.on_configuration_read()
+    try:
+        config = node_config.load_config(os.environ)
+    except node_config.InvalidConfigError as error:
+        for line in str(error).splitlines():
+            print(f"burlmoor: {line}", file=sys.stderr)
+        return 2
+    status = 0
+    try:
+        trio.run(_serve, config, EventLog(config.name))
+    except* OSError as group:
+        print(f"burlmoor: {group.exceptions[0]}", file=sys.stderr)
+        status = 1
+    early_signals.ignore_all()
+    return status
--- /dev/null
+++ b/burlmoor/lifecycle/reload.py
@@ -0,0 +1,58 @@
+"""Reads the configuration again while the node runs (SIGHUP)."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from burlmoor.config import node_config
+from burlmoor.discovery.client import DiscoveryClient
+from burlmoor.endpoints.directory import EndpointDirectory
+from burlmoor.log import EventLog
+
+# Fields of the configuration that take effect at a start only, by the names that the log gives them.
+_RESTART_FIELDS = {
+    "name": "name",
+    "listen": "listen",
+    "control": "admin",
+    "seed": "seed",
+    "sockets": "max_sockets",
+    "settings": "settings",
+}
+
+
+class ConfigReloader:
+    """Applies what a new configuration changes for discovery, and logs what needs a restart."""
+
+    def __init__(
+        self,
+        config: node_config.NodeConfig,
+        directory: EndpointDirectory,
+        discovery: DiscoveryClient,
+        log: EventLog,
+    ) -> None:
+        self._config = config
+        self._directory = directory
+        self._discovery = discovery
+        self._log = log
+
+    def reload(self, environment: Mapping[str, str]) -> node_config.NodeConfig | None:
+        """Return the new configuration; None where it is invalid: then the old one stays in force."""
+        try:
+            new = node_config.load_config(environment, again=True)
+        except Exception as error:  # noqa: BLE001
+            # Without this, an invalid configuration would end the node.
+            self._log("reload-failed", error=str(error))
+            return None
+        # The cached list is older than what discovery has sent since.
+        if self._directory.version is None and new.cached_endpoints is not None:
+            self._directory.load_cached(new.cached_endpoints)
+        self._discovery.set_address(new.discovery)
+        self._log("reloaded", discovery=new.discovery, needs_restart=self._fields_that_need_restart(new))
+        return new
+
+    def _fields_that_need_restart(self, new: node_config.NodeConfig) -> list[str]:
+        return [
+            field
+            for field, attribute in _RESTART_FIELDS.items()
+            if getattr(new, attribute) != getattr(self._config, attribute)
+        ]
--- a/burlmoor/policy/attempts.py
+++ b/burlmoor/policy/attempts.py
@@ -50,7 +50,7 @@
     def schedule_next_check(self, job: ScheduledJob, now: float) -> None:
         """Schedule the next check of a job whose attempts are pending."""
         tick_ms = self._settings.tick_ms
-        moments = [attempt.check_at for attempt in job.pending_attempts() if not attempt.is_given_up]
+        moments = [attempt.check_at for attempt in job.pending_attempts() if not attempt.is_cancelling]
         moments.append(job.deadline_at - tick_ms)
         if now < job.useful_until:
             moments.append(job.useful_until)
--- a/burlmoor/policy/dispatcher.py
+++ b/burlmoor/policy/dispatcher.py
@@ -45,7 +45,7 @@
             ev.AttemptStarted: self._on_attempt_started,
             ev.AttemptProgressed: self._on_attempt_progressed,
             ev.ResponseStarted: self._on_response_started,
-            ev.AttemptGivenUp: self._on_attempt_given_up,
+            ev.AttemptCancelling: self._on_attempt_cancelling,
             ev.AttemptEnded: self._on_attempt_ended,
             ev.ClientDisconnected: self._on_client_disconnected,
             ev.HandoverChanged: self._on_handover_changed,
@@ -114,13 +114,13 @@
             attempt.check_at = now + self._max_silence_ms
             self._outcomes.record_progress(job, attempt, event.fraction, now)
 
-    def _on_attempt_given_up(self, event: ev.AttemptGivenUp, now: float) -> None:
+    def _on_attempt_cancelling(self, event: ev.AttemptCancelling, now: float) -> None:
         found = self.context.jobs.find_attempt(event.id, event.attempt)
         if found is not None:
             job, attempt = found
-            attempt.is_given_up = True
+            attempt.is_cancelling = True
             self._outcomes.record_fault(attempt, event.outcome, now)
-            self._retries.on_given_up(job, event.outcome, now)
+            self._retries.on_cancelling(job, event.outcome, now)
 
     def _on_attempt_ended(self, event: ev.AttemptEnded, now: float) -> None:
         found = self.context.jobs.find_attempt(event.id, event.attempt)
--- a/burlmoor/policy/retries.py
+++ b/burlmoor/policy/retries.py
@@ -8,7 +8,7 @@
 from burlmoor.stats.endpoint_statistics import EVIDENCE_HALF_LIFE_MS
 from burlmoor.stats.job import ScheduledAttempt, ScheduledJob
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import EndReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, EndReason
 from burlmoor.types.settings import Idempotency
 
 SILENT_ENDPOINT_MS = 3000.0  # an endpoint that has reported nothing for this long may not be working
@@ -39,7 +39,7 @@
             self._context.jobs.abandon(job, EndReason.NOT_STARTED)
             return
         for attempt in job.pending_attempts():
-            if now >= attempt.check_at and not attempt.is_given_up:
+            if now >= attempt.check_at and not attempt.is_cancelling:
                 self._check_attempt(job, attempt, now)
         self._sender.schedule_next_check(job, now)
 
@@ -53,7 +53,7 @@
         else:
             self._measured.record_attempt_end(attempt.endpoint, False, now)
             self._context.warn("silent executors: moving repeatable work away", now)
-            reason = GiveUpReason.OVERDUE if attempt.started_at is None else GiveUpReason.SILENT
+            reason = CancelReason.OVERDUE if attempt.started_at is None else CancelReason.SILENT
             self._redistribute(job, attempt, reason, now)
 
     def _note_overdue(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> None:
@@ -65,7 +65,7 @@
         self._measured.record_start_delay(endpoint, now - attempt.sent_at, now, has_started=False)
         if endpoint.is_silent_since(now - SILENT_ENDPOINT_MS):
             self._redistribute_unstarted(job, attempt, now)
-        elif not endpoint.has_been_heard_of() and now < job.useful_until - retry_ms:
+        elif not endpoint.has_reported_since(now - SILENT_ENDPOINT_MS) and now < job.useful_until - retry_ms:
             # It may be far away, or not work: wait for it while another could still serve the job after it.
             attempt.latest_retry_at = job.useful_until - retry_ms
             attempt.check_at = min(attempt.check_at, attempt.latest_retry_at)
@@ -73,7 +73,7 @@
     def _redistribute_unstarted(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> None:
         if self._may_redistribute_unstarted(job, now):
             self._sender.redistribution_tokens -= 1.0
-            self._redistribute(job, attempt, GiveUpReason.OVERDUE, now)
+            self._redistribute(job, attempt, CancelReason.OVERDUE, now)
 
     def _may_redistribute_unstarted(self, job: ScheduledJob, now: float) -> bool:
         """Return whether an attempt that has not started may be made elsewhere.
@@ -89,7 +89,7 @@
         )
 
     def _redistribute(
-        self, job: ScheduledJob, attempt: ScheduledAttempt, reason: GiveUpReason, now: float
+        self, job: ScheduledJob, attempt: ScheduledAttempt, reason: CancelReason, now: float
     ) -> None:
         """Send a job elsewhere, where its class allows a repeat and attempts are left."""
         if job.is_queued or not self._limits.may_cancel:
@@ -103,18 +103,18 @@
         elif len(job.pending_attempts()) == 1:
             self._rounds.enqueue(job, now, RETRY_TICKS)
 
-    def on_given_up(self, job: ScheduledJob, outcome: Outcome, now: float) -> None:
-        """Retry a job whose attempt was given up, where a second one may be out beside it."""
+    def on_cancelling(self, job: ScheduledJob, outcome: Outcome, now: float) -> None:
+        """Retry a job whose attempt was cancelled, where a second one may be out beside it."""
         if not job.is_closed and outcome is not Outcome.TIMEOUT:
             self.retry_or_abandon(job, now)
 
     def retry_or_abandon(self, job: ScheduledJob, now: float) -> None:
         """Queue a job whose attempt brought no answer again where that is safe, else end it.
 
-        Where an attempt that was given up is still out, and bars a retry, the job waits for its end.
+        Where an attempt that was cancelled is still out, and bars a retry, the job waits for its end.
         """
         pending = job.pending_attempts()
-        if job.is_queued or any(not attempt.is_given_up for attempt in pending):
+        if job.is_queued or any(not attempt.is_cancelling for attempt in pending):
             return
         last = (job.possibly_run_attempts() or job.attempts)[-1]
         if now < job.useful_until and self._context.safety.may_send(job, last.endpoint, now):
--- a/burlmoor/policy/safety.py
+++ b/burlmoor/policy/safety.py
@@ -9,7 +9,7 @@
 from burlmoor.stats.endpoint import Endpoint
 from burlmoor.stats.job import ScheduledAttempt, ScheduledJob
 from burlmoor.types.actions import Action, CancelAttempt, FailJob, RejectJob, StartAttempt
-from burlmoor.types.reasons import EndReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, EndReason
 from burlmoor.types.settings import DeduplicationScope, Idempotency, Limits
 
 
@@ -68,15 +68,15 @@
         if not job.is_closed:
             job.is_closed = True
             for attempt in job.pending_attempts():
-                self.cancel(job, attempt, GiveUpReason.JOB_OVER)
+                self.cancel(job, attempt, CancelReason.JOB_OVER)
 
     def cancel_others(self, job: ScheduledJob, started: ScheduledAttempt) -> None:
         """Cancel the attempts that can no longer count since another one has started."""
         for attempt in job.pending_attempts():
             if attempt is not started:
-                self.cancel(job, attempt, GiveUpReason.SUPERSEDED)
+                self.cancel(job, attempt, CancelReason.SUPERSEDED)
 
-    def cancel(self, job: ScheduledJob, attempt: ScheduledAttempt, reason: GiveUpReason) -> None:
+    def cancel(self, job: ScheduledJob, attempt: ScheduledAttempt, reason: CancelReason) -> None:
         """Cancel one attempt, where the settings allow it and no response has begun."""
         if self._limits.may_cancel and not job.is_streaming:
             self._actions.append(CancelAttempt(job.id, attempt.number, reason))
--- a/burlmoor/stats/endpoint.py
+++ b/burlmoor/stats/endpoint.py
@@ -31,7 +31,7 @@
         self.memory_in_flight = 0.0
         # Own slots that may be in flight: prompt starts raise it, late ones lower it.
         self.capacity = max(INITIAL_CAPACITY_SLOTS, self.weight)
-        self.last_heard_at = -math.inf  # when it last reported a start or progress, or served a job
+        self.last_reported_at = -math.inf  # when it last reported a start or progress, or served a job
         self.first_sent_at = math.inf  # when this process sent it its first attempt
         self.consecutive_faults = 0
         self.next_probe_at = -math.inf  # when an ejected endpoint may get a job as a probe
@@ -48,16 +48,16 @@
         self.slow_start_credit = 1.0
         self.slow_start_credit_at = 0.0
 
+    def has_reported_since(self, moment: float) -> bool:
+        """Return whether it has reported anything to this process since then."""
+        return self.last_reported_at >= moment
+
     def is_silent_since(self, moment: float) -> bool:
         """Return whether it has reported nothing since then, although it had an attempt of this process.
 
-        One that a new process has never heard of is not silent: its first attempts wait for connections.
+        The first attempts of a new process wait for connections, which says nothing against an endpoint.
         """
-        return self.last_heard_at < moment and self.first_sent_at < moment
-
-    def has_been_heard_of(self) -> bool:
-        """Return whether it has ever reported anything to this process."""
-        return self.last_heard_at > -math.inf
+        return self.first_sent_at < moment and not self.has_reported_since(moment)
 
     def is_available(self) -> bool:
         """Return whether it is listed as live and none of this node's attempts waits for its start."""
--- a/burlmoor/stats/job.py
+++ b/burlmoor/stats/job.py
@@ -22,7 +22,7 @@
     check_at: float  # something should have been heard of it by then
     started_at: float | None = None
     outcome: Outcome | None = None
-    is_given_up: bool = False  # by the node; pending until its endpoint is known not to hold the job
+    is_cancelling: bool = False  # by the node; pending until its endpoint is known not to hold the job
     is_overdue: bool = False
     latest_retry_at: float | None = None  # set where a retry waits for the last moment that is of use
 
--- a/burlmoor/stats/snapshot.py
+++ b/burlmoor/stats/snapshot.py
@@ -110,7 +110,7 @@
     return EndpointSnapshot(
         capacity=endpoint.capacity,
         consecutive_faults=endpoint.consecutive_faults,
-        last_heard_age=now - endpoint.last_heard_at,
+        last_heard_age=now - endpoint.last_reported_at,
         next_probe_in=endpoint.next_probe_at - now,
         slow_start_credit=(endpoint.slow_start_credit, now - endpoint.slow_start_credit_at),
         slowness=_take_mean(endpoint.slowness, now),
@@ -185,7 +185,7 @@
 def _restore_endpoint(endpoint: Endpoint, given: EndpointSnapshot, now: float) -> None:
     endpoint.capacity = given.capacity
     endpoint.consecutive_faults = given.consecutive_faults
-    endpoint.last_heard_at = now - given.last_heard_age
+    endpoint.last_reported_at = now - given.last_heard_age
     endpoint.next_probe_at = now + given.next_probe_in
     endpoint.slow_start_credit, credit_age = given.slow_start_credit
     endpoint.slow_start_credit_at = now - credit_age
--- a/burlmoor/testbed/event_record.py
+++ b/burlmoor/testbed/event_record.py
@@ -75,14 +75,14 @@
     work_ms: float = msgspec.field(name="work", default=0.0)  # on one core of speed 1, for each slot
     slots: int = 1
     # When its executor heard that the node had given it up: by DELETE, or by a close before the 202.
-    given_up_ms: float | UnsetType = msgspec.field(name="given_up", default=UNSET)
+    cancelled_ms: float | UnsetType = msgspec.field(name="cancelled", default=UNSET)
 
     def is_out(self, at_ms: float) -> bool:
-        """Whether it had been received by then, and had neither ended nor been given up."""
+        """Whether it had been received by then, and had neither ended nor been cancelled."""
         if at_ms < self.received_ms:
             return False
         has_ended = self.ended_ms is not None and self.ended_ms <= at_ms
-        return not has_ended and (self.given_up_ms is UNSET or self.given_up_ms > at_ms)
+        return not has_ended and (self.cancelled_ms is UNSET or self.cancelled_ms > at_ms)
 
 
 class ClosingPeriod(NamedTuple):
--- a/burlmoor/testbed/executor.py
+++ b/burlmoor/testbed/executor.py
@@ -165,8 +165,8 @@
         )  # fmt: skip
         self._event_record.attempts.append(attempt)
         if stream.has_peer_ended():
-            # Found by an executor that stood still, when it goes on: a close before the 202 gives the job up.
-            _note_given_up(attempt)
+            # Found by an executor that stood still, when it goes on: a close before the 202 cancels the job.
+            _note_cancelled(attempt)
             return False
         fault = self._take_fault()
         if fault in ("reset", "hang", "error"):
@@ -194,11 +194,11 @@
         return True
 
     def _cancel(self, job: str) -> None:
-        """Take note that a node gives a job up: what is queued is dropped, what runs goes on."""
+        """Take note that a node cancels a job: what is queued is dropped, what runs goes on."""
         assigned = self._assigned_jobs.get(job)
         if assigned is None:
             return
-        _note_given_up(assigned.attempt)
+        _note_cancelled(assigned.attempt)
         if self.model.drop_queued(now_ms(), job):
             del self._assigned_jobs[job]
             assigned.attempt.outcome = "given up"
@@ -238,9 +238,9 @@
         self._callbacks.send(assigned.node, event)
 
 
-def _note_given_up(attempt: AttemptRecord) -> None:
-    if attempt.given_up_ms is UNSET:
-        attempt.given_up_ms = now_ms()
+def _note_cancelled(attempt: AttemptRecord) -> None:
+    if attempt.cancelled_ms is UNSET:
+        attempt.cancelled_ms = now_ms()
 
 
 async def _cause_fault(fault: str, attempt: AttemptRecord, stream: HttpStream) -> bool:
@@ -248,7 +248,7 @@
     if fault == "hang":
         while await stream.read() is not None:
             pass
-        _note_given_up(attempt)
+        _note_cancelled(attempt)
         return False
     # Also before a reset: the job may have run, and a second attempt must count as a repetition.
     attempt.started_ms = now_ms()
--- a/burlmoor/testbed/fleet/audit_attempts.py
+++ b/burlmoor/testbed/fleet/audit_attempts.py
@@ -53,7 +53,7 @@
 def check_simultaneous_attempts(record: RunRecord, result: Audit) -> None:
     """Check that no more attempts of a job are out at once than settings allow.
 
-    An attempt is over once its executor has ended it, or has heard that it is given up. One whose connection
+    An attempt is over once its executor has ended it, or has heard that it is cancelled. One whose connection
     the schedule has reset has ended for its node, though its executor may go on.
     """
     most_at_once = 2 if record.plan.may_hedge else 1
--- a/burlmoor/testbed/mutations.py
+++ b/burlmoor/testbed/mutations.py
@@ -174,7 +174,7 @@
 
 
 def _keep_sent() -> None:
-    """An attempt that is given up stays with the kernel, which goes on delivering it."""
+    """An attempt that is cancelled stays with the kernel, which goes on delivering it."""
     from burlmoor.transport.stream import SocketStream  # noqa: PLC0415
 
     SocketStream.set_reset_on_close = lambda self, is_on: True  # type: ignore[method-assign]
@@ -195,16 +195,16 @@
 
 
 def _hasty() -> None:
-    """An attempt counts as over once it is given up, before its endpoint has heard of that."""
+    """An attempt counts as over once it is cancelled, before its endpoint has heard of that."""
     from burlmoor.engine.attempt_controller import AttemptController  # noqa: PLC0415
 
-    give_up = AttemptController.give_up
+    cancel_attempt = AttemptController.cancel_attempt
 
-    def give_up_and_end(self: AttemptController, attempt: Any, *rest: Any) -> None:
-        give_up(self, attempt, *rest)
-        self._end_given_up(attempt)
+    def cancel_and_end(self: AttemptController, attempt: Any, *rest: Any) -> None:
+        cancel_attempt(self, attempt, *rest)
+        self._end_cancelled(attempt)
 
-    AttemptController.give_up = give_up_and_end  # type: ignore[assignment, method-assign]
+    AttemptController.cancel_attempt = cancel_and_end  # type: ignore[assignment, method-assign]
 
 
 Sabotages = dict[str, Callable[[], None]]
@@ -240,7 +240,7 @@
 def main() -> int:
     """Put the fault in and run the node; its exit status."""
     SABOTAGES[sys.argv[1]]()
-    from burlmoor.lifecycle.node import main as run  # noqa: PLC0415
+    from burlmoor.lifecycle.process import main as run  # noqa: PLC0415
 
     return run()
 
--- a/burlmoor/types/actions.py
+++ b/burlmoor/types/actions.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from burlmoor.types.reasons import EndReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, EndReason
 
 
 class StartAttempt(NamedTuple):
@@ -35,7 +35,7 @@
 
     id: int
     attempt: int
-    reason: GiveUpReason | None = None
+    reason: CancelReason | None = None
 
 
 class SetTimer(NamedTuple):
--- a/burlmoor/types/events.py
+++ b/burlmoor/types/events.py
@@ -57,7 +57,7 @@
     endpoint: str
 
 
-class AttemptGivenUp(NamedTuple):
+class AttemptCancelling(NamedTuple):
     """The node has given an attempt up, which ends only once its endpoint is known not to hold the job."""
 
     id: int
@@ -116,7 +116,7 @@
     | AttemptStarted
     | AttemptProgressed
     | ResponseStarted
-    | AttemptGivenUp
+    | AttemptCancelling
     | AttemptEnded
     | ClientDisconnected
     | HealthChecked
--- a/burlmoor/types/reasons.py
+++ b/burlmoor/types/reasons.py
@@ -1,4 +1,4 @@
-"""Why jobs end without a result, attempts are given up and connections closed: for log and counters."""
+"""Why jobs end without a result, attempts are cancelled and connections closed: for log and counters."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     DISCONNECTED = "client-disconnected"
 
 
-class GiveUpReason(Enum):
+class CancelReason(Enum):
     """Why the node gave an attempt up; the value is its name in the log."""
 
     OVERDUE = "overdue"  # not started in the time that a start usually takes
@@ -43,6 +43,6 @@
     IDLE = "idle"  # unused for too long, or more idle ones than are kept
     SHUTDOWN = "shutdown"  # idle while the node sends its clients away
     ENDPOINT_CHANGED = "endpoint-changed"  # the endpoint is another process now
-    GIVEN_UP = "given-up"  # its attempt was given up
+    ATTEMPT_CANCELLED = "attempt-cancelled"  # its attempt was cancelled
     BROKEN = "broken"  # an error of the socket, or no valid response
     ERROR = "error"  # an internal error
--- a/burlmoor/upstream/attempts.py
+++ b/burlmoor/upstream/attempts.py
@@ -15,7 +15,7 @@
 from burlmoor.invariants import Invariant
 from burlmoor.log import EventLogger
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import CloseReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, CloseReason
 from burlmoor.upstream.cancellation import AttemptCanceller
 from burlmoor.upstream.connection import PooledConnection
 from burlmoor.upstream.errors import (
@@ -127,21 +127,21 @@
         try:
             with in_flight.scope:
                 outcome = await self._exchange(attempt, in_flight)
-                # What is given up ends by the endpoint's word, not by the error of its aborted connection.
+                # What is cancelled ends by the endpoint's word, not by the error of its aborted connection.
                 if outcome is not None and not attempt.is_over:
                     self._engine.on_attempt_ended(attempt, outcome)
         except Exception as error:  # noqa: BLE001
             # The boundary of the attempt's task: without this, an error in one attempt would end the node.
             # Whether the job has run is not known.
             self._log("attempt-error", target=attempt.endpoint, error=repr(error))
-            self._engine.give_up_attempt(attempt, Outcome.RESET, GiveUpReason.INTERNAL_ERROR)
+            self._engine.cancel_attempt(attempt, Outcome.RESET, CancelReason.INTERNAL_ERROR)
         finally:
             self._in_flight.remove(attempt)
 
     async def _exchange(self, attempt: Attempt, in_flight: InFlightAttempt) -> Outcome | None:
         """Send the request and read the response.
 
-        Returns the outcome; None if the endpoint accepts the job, or if the attempt was given up.
+        Returns the outcome; None if the endpoint accepts the job, or if the attempt was cancelled.
         """
         try:
             connection = await self._send_request(attempt, in_flight)
@@ -158,7 +158,7 @@
             connection.close(CloseReason.BROKEN)
             return self._outcome_of_broken_response(attempt, error)
         except BaseException:
-            connection.close(CloseReason.GIVEN_UP)
+            connection.close(CloseReason.ATTEMPT_CANCELLED)
             raise
         connection.release()
         if response.status != STATUS_ACCEPTED:
@@ -174,8 +174,8 @@
         if isinstance(error, ConnectionEndedError) or isinstance(error.__cause__, OSError):
             return Outcome.RESET
         is_timeout = isinstance(error, ResponseTimeoutError)
-        reason = GiveUpReason.NO_RESPONSE if is_timeout else GiveUpReason.INVALID_RESPONSE
-        self._engine.give_up_attempt(attempt, Outcome.RESET, reason)
+        reason = CancelReason.NO_RESPONSE if is_timeout else CancelReason.INVALID_RESPONSE
+        self._engine.cancel_attempt(attempt, Outcome.RESET, reason)
         return None
 
     async def _read_response(self, attempt: Attempt, connection: PooledConnection) -> Response:
@@ -207,7 +207,7 @@
                 must_connect = True
                 continue
             except BaseException:
-                connection.close(CloseReason.GIVEN_UP)
+                connection.close(CloseReason.ATTEMPT_CANCELLED)
                 raise
             return connection
 
--- a/burlmoor/upstream/connection.py
+++ b/burlmoor/upstream/connection.py
@@ -71,7 +71,7 @@
             self.close(CloseReason.BROKEN)
             raise
         except BaseException:
-            self.close(CloseReason.GIVEN_UP)
+            self.close(CloseReason.ATTEMPT_CANCELLED)
             raise
 
     def release(self) -> None:
--- a/burlmoor/upstream/in_flight.py
+++ b/burlmoor/upstream/in_flight.py
@@ -12,7 +12,7 @@
 from burlmoor.invariants import Invariant
 from burlmoor.log import EventLogger
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import CloseReason, GiveUpReason
+from burlmoor.types.reasons import CancelReason, CloseReason
 from burlmoor.upstream.connection import PooledConnection
 
 # After an endpoint was notified to drain, until its unaccepted attempts are withdrawn. The drain rule gives
@@ -33,7 +33,7 @@
     def abort(self) -> None:
         """Let nothing more of the request go out, from this moment on."""
         if self.connection is not None:
-            self.connection.close(CloseReason.GIVEN_UP)
+            self.connection.close(CloseReason.ATTEMPT_CANCELLED)
         self.scope.cancel()
 
 
@@ -83,11 +83,11 @@
         """
         await trio.sleep(_WITHDRAW_AFTER_SECONDS)
         in_flight = self._by_attempt.get(attempt)
-        if in_flight is None or attempt.is_given_up or self._directory.find_live(attempt.endpoint):
+        if in_flight is None or attempt.is_cancelling or self._directory.find_live(attempt.endpoint):
             return
         # A request of which not all was written has not run.
         outcome = Outcome.RESET if in_flight.is_written else Outcome.UNREACHABLE
-        self._engine.give_up_attempt(attempt, outcome, GiveUpReason.ENDPOINT_NOT_LIVE)
+        self._engine.cancel_attempt(attempt, outcome, CancelReason.ENDPOINT_NOT_LIVE)
         self._log(
             "attempt-withdrawn",
             id=attempt.job.id,
--- a/burlmoor/upstream/send_precondition.py
+++ b/burlmoor/upstream/send_precondition.py
@@ -25,7 +25,7 @@
     - The job is open and its client connected. Without this, executors would work for clients that have left
       (also where the settings bar cancellation, so that nothing else stops an attempt that waits for a
       connection), and a hedged request could be sent for a job that is answered already (rule 1).
-    - The attempt is not over: it has neither ended nor been given up.
+    - The attempt is not over: it has neither ended nor been cancelled.
     - The endpoint is live: neither draining, nor gone, nor disabled by an override. Without this, an endpoint
       would get work after the node was notified that it drains (the drain rule, rule 3).
 
--- a/tests/engine/test_attempt_guard.py
+++ b/tests/engine/test_attempt_guard.py
@@ -20,8 +20,8 @@
     job = Job("a1", 1, cast(Any, None), "lookup", None, 0.0, 1000.0, False)
     job.attempts.append(Attempt(job, 0, "e0", 0.0, 1000.0, Outcome.CANCELLED))
     for number in range(open_count):
-        given_up_as = Outcome.CANCELLED if number else None
-        job.attempts.append(Attempt(job, number + 1, f"e{number + 1}", 0.0, 1000.0, None, given_up_as))
+        cancelled_as = Outcome.CANCELLED if number else None
+        job.attempts.append(Attempt(job, number + 1, f"e{number + 1}", 0.0, 1000.0, None, cancelled_as))
     guard = AttemptGuard(Limits(max_attempts=5, may_hedge=may_hedge), invariants)
     may_start = open_count < (2 if may_hedge else 1)
     assert guard.may_start(job, Attempt(job, 3, "e9", 10.0, 1000.0), 10.0) is may_start
--- a/tests/engine/test_giving_up.py
+++ b/tests/engine/test_cancelling.py
@@ -1,4 +1,4 @@
-"""Attempts that are given up: until their endpoints are known not to hold them, they are out."""
+"""Attempts that are cancelled: until their endpoints are known not to hold them, they are out."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from burlmoor.engine.answers import Failed, Rejected, Served
 from burlmoor.types.actions import StartAttempt
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import GiveUpReason
+from burlmoor.types.reasons import CancelReason
 from burlmoor.types.settings import Limits
 from tests.support.engine_harness import EngineHarness
 
@@ -15,9 +15,9 @@
 NO_HEDGING = Limits(max_attempts=5, may_cancel=True, may_hedge=False)
 
 
-def give_up(harness: EngineHarness, outcome: Outcome = Outcome.RESET) -> None:
-    """Give up the latest attempt, and let its job be retried if that is allowed."""
-    harness.engine.give_up_attempt(harness.started_attempts[-1], outcome, GiveUpReason.NO_RESPONSE)
+def cancel(harness: EngineHarness, outcome: Outcome = Outcome.RESET) -> None:
+    """Cancel the latest attempt, and let its job be retried if that is allowed."""
+    harness.engine.cancel_attempt(harness.started_attempts[-1], outcome, CancelReason.NO_RESPONSE)
     harness.advance(100.0)
 
 
@@ -28,7 +28,7 @@
     harness = EngineHarness(limits=limits)
     harness.submit_and_start(work_ms=2000.0)
     for number in range(allowed):
-        give_up(harness)
+        cancel(harness)
         assert len(harness.started_attempts) == min(number + 2, allowed)
     first = harness.started_attempts[0]
     assert harness.cancelled_attempts[0] is first
@@ -43,7 +43,7 @@
 def test_a_result_that_comes_before_the_cancel_is_confirmed_serves_the_job() -> None:
     harness = EngineHarness(limits=NO_HEDGING)
     client, attempt = harness.submit_and_start(work_ms=2000.0)
-    give_up(harness)
+    cancel(harness)
     assert harness.engine.find_attempt("a1", attempt.endpoint) is attempt
     harness.engine.on_attempt_ended(attempt, Outcome.SERVED, b"late")
     harness.engine.on_attempt_cancelled(attempt)
@@ -53,10 +53,10 @@
     assert harness.engine.open_job_ids() == []
 
 
-def test_a_start_that_is_reported_after_the_give_up_changes_nothing() -> None:
+def test_a_start_that_is_reported_after_the_cancellation_changes_nothing() -> None:
     harness = EngineHarness(limits=HEDGING)
     _, attempt = harness.submit_and_start(work_ms=2000.0)
-    harness.engine.give_up_attempt(attempt, Outcome.RESET, GiveUpReason.NO_RESPONSE)
+    harness.engine.cancel_attempt(attempt, Outcome.RESET, CancelReason.NO_RESPONSE)
     harness.engine.on_attempt_started(attempt)
     harness.engine.on_attempt_progressed(attempt, 0.5)
     harness.advance(100.0)
@@ -67,7 +67,7 @@
 def test_a_job_whose_attempts_are_never_confirmed_is_rejected_in_time_and_forgotten(limits: Limits) -> None:
     harness = EngineHarness(limits=limits)
     client, _ = harness.submit_and_start(timeout_ms=900.0)
-    give_up(harness)
+    cancel(harness)
     harness.advance(900.0)
     assert client.answer_types() == [Rejected]
     assert harness.open_attempts() == []
@@ -78,7 +78,7 @@
 def test_a_non_idempotent_job_does_not_wait_for_the_cancel(outcome: Outcome) -> None:
     harness = EngineHarness(limits=NO_HEDGING)
     client, attempt = harness.submit_and_start("once")
-    give_up(harness, outcome)
+    cancel(harness, outcome)
     if outcome is Outcome.RESET:
         assert client.answers == [Failed()]
     else:
--- a/tests/engine/test_job_log.py
+++ b/tests/engine/test_job_log.py
@@ -7,7 +7,7 @@
 import pytest
 
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import GiveUpReason
+from burlmoor.types.reasons import CancelReason
 from burlmoor.types.settings import Limits
 from tests.support.engine_harness import EngineHarness
 
@@ -27,7 +27,7 @@
 def test_the_line_of_a_retried_job_has_every_state_change_of_its_attempts() -> None:
     harness = EngineHarness(limits=Limits(max_attempts=4, may_cancel=True, may_hedge=False))
     _, first = harness.submit_and_start()
-    harness.engine.give_up_attempt(first, Outcome.RESET, GiveUpReason.NO_RESPONSE)
+    harness.engine.cancel_attempt(first, Outcome.RESET, CancelReason.NO_RESPONSE)
     harness.advance(40.0)
     harness.engine.on_attempt_cancelled(first)
     harness.advance(50.0)
@@ -39,13 +39,13 @@
     assert (line["id"], line["job_class"], line["answer"], line["reason"]) == ("a1", "lookup", "served", None)
     described_first, described_second = line["attempts"]
     assert described_first["target"] == first.endpoint
-    assert (described_first["give_up"], described_first["outcome"]) == ("no-response", "reset")
-    assert (described_first["given_up"], described_first["ended"]) == (60.0, 100.0)
+    assert (described_first["cancel"], described_first["outcome"]) == ("no-response", "reset")
+    assert (described_first["cancelled"], described_first["ended"]) == (60.0, 100.0)
     assert described_second["outcome"] == "served"
     assert described_first["ended"] <= described_second["selected"] <= described_second["started"]
     assert described_second["ended"] == line["after_ms"]
     totals = harness.engine.counters.totals()
-    assert totals == {"jobs": {"served": 1}, "retries": {"reset": 1}, "give-ups": {"no-response": 1}}
+    assert totals == {"jobs": {"served": 1}, "retries": {"reset": 1}, "cancels": {"no-response": 1}}
 
 
 @pytest.mark.parametrize(
@@ -76,7 +76,7 @@
     harness.advance(10.0)
     [line] = job_lines(harness)
     assert (line["answer"], line["reason"]) == ("none", "client-disconnected")
-    assert line["attempts"][0]["give_up"] == "job-over"
+    assert line["attempts"][0]["cancel"] == "job-over"
 
 
 def test_changes_of_the_counts_are_taken_once() -> None:
--- a/tests/integration/test_partitions.py
+++ b/tests/integration/test_partitions.py
@@ -27,7 +27,7 @@
 def test_what_a_partition_held_back_does_not_reach_an_executor_that_drains_by_then(
     tmp_path: Path, health: str, cut_seconds: float, drained_seconds: float
 ) -> None:
-    """The attempts were given up before the drain, or still wait for their 202 when it is announced."""
+    """The attempts were cancelled before the drain, or still wait for their 202 when it is announced."""
 
     async def partition(cluster: LocalCluster) -> None:
         # Some connections to each executor lie idle then; only those take requests while a link is cut.
--- a/tests/integration/test_simultaneous_attempts.py
+++ b/tests/integration/test_simultaneous_attempts.py
@@ -4,15 +4,15 @@
 executor some 90 ms after the first, which its executor had accepted by then and went on to run.
 
 How it came about: a process that had just started took an attempt for overdue after 83 ms, since it had heard
-of no executor yet, and gave it up by closing the connection. On a new connection to another zone the 202 took
-longer; it was on its way, so the close came too late to give anything up.
+of no executor yet, and cancelled it by closing the connection. On a new connection to another zone the 202
+took longer; it was on its way, so the close came too late to cancel anything.
 
-Cause: an attempt counted as over as soon as the node had given it up, before its executor had heard of that.
-Every way of giving up before the 202 had it, whatever the reason: the four below. What set it off: executors
+Cause: an attempt counted as over as soon as the node had cancelled it, before its executor had heard of that.
+Every way of cancelling before the 202 had it, whatever the reason: the four below. What set it off: executors
 that a process had never heard of counted as silent.
 
-Proof: the log of jobs shows the reason and the moment of each give-up; on links that are as slow as between
-zones the same happens over a real process, and does not once a give-up has to be confirmed.
+Proof: the log of jobs shows the reason and the moment of each cancellation; on links that are as slow as
+between zones the same happens over a real process, and does not once a cancellation has to be confirmed.
 """
 
 from __future__ import annotations
@@ -41,10 +41,10 @@
     return {**platform_settings()["Limits"], "SecondCopies": may_hedge}
 
 
-def give_up_reasons(cluster: LocalCluster) -> set[str]:
+def cancel_reasons(cluster: LocalCluster) -> set[str]:
     """Why the node has given attempts up, by its log."""
     lines = [line for line in cluster.nodes[0].log if line["event"] == "job-ended"]
-    return {attempt["give_up"] for line in lines for attempt in line["attempts"] if "give_up" in attempt}
+    return {attempt["cancel"] for line in lines for attempt in line["attempts"] if "cancel" in attempt}
 
 
 async def send_long_jobs(cluster: LocalCluster, job_class: JobClass = SEARCH) -> None:
@@ -114,12 +114,12 @@
         (announce_drains, "endpoint-not-live"),
     ],
 )
-def test_a_job_is_not_sent_again_before_its_attempt_is_known_to_be_given_up(
+def test_a_job_is_not_sent_again_before_its_attempt_is_known_to_be_cancelled(
     tmp_path: Path, scenario: Callable[[LocalCluster], Awaitable[None]], reason: str
 ) -> None:
     async def run(cluster: LocalCluster) -> None:
         await scenario(cluster)
-        assert reason in give_up_reasons(cluster), "nothing was given up: the test proves nothing"
+        assert reason in cancel_reasons(cluster), "nothing was cancelled: the test proves nothing"
         assert cluster.event_record.find_simultaneous(1) == []
 
     run_with_links(tmp_path, run, Limits=limits(may_hedge=False))
@@ -131,7 +131,7 @@
     async def run(cluster: LocalCluster) -> None:
         move_to_other_zones(cluster)
         await send_long_jobs(cluster)
-        assert give_up_reasons(cluster) == set()
+        assert cancel_reasons(cluster) == set()
         assert len(cluster.event_record.attempts) == JOBS
         assert all(request.is_served for request in cluster.event_record.requests.values())
 
--- a/tests/policy/test_safety_rules.py
+++ b/tests/policy/test_safety_rules.py
@@ -16,7 +16,7 @@
     TimerFired,
 )
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import GiveUpReason
+from burlmoor.types.reasons import CancelReason
 from burlmoor.types.settings import DeduplicationScope, Limits
 from tests.support.dispatcher_driver import KEYED, LIMITS, DispatcherDriver, entries, settings
 
@@ -181,7 +181,7 @@
     assert not driver.actions_of(CancelAttempt, 7)
 
 
-def test_an_endpoint_that_was_never_heard_of_is_given_up_while_another_can_still_serve_the_job() -> None:
+def test_an_endpoint_that_was_never_heard_of_is_left_while_another_can_still_serve_the_job() -> None:
     limits = Limits(max_attempts=4, may_cancel=True, may_hedge=False)
     driver = DispatcherDriver(settings(limits=limits))
     send = driver.request_and_place(7, work_ms=20.0)
@@ -189,7 +189,7 @@
     while not (cancels := driver.actions_of(CancelAttempt, 7)):
         assert not driver.actions_of(RejectJob, 7)
         driver.run(10.0)
-    assert cancels == [CancelAttempt(7, 0, GiveUpReason.OVERDUE)]
+    assert cancels == [CancelAttempt(7, 0, CancelReason.OVERDUE)]
     assert driver.now - sent_at > 150.0
     driver.end_attempt(send, Outcome.CANCELLED)
     driver.run(20.0)
@@ -202,7 +202,7 @@
     let_endpoints_be_silent(driver)
     send = driver.request_and_place(7, work_ms=2000.0)
     driver.run(300.0)
-    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0, GiveUpReason.OVERDUE)]
+    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0, CancelReason.OVERDUE)]
     assert len(driver.actions_of(StartAttempt, 7)) == 1
     driver.end_attempt(send, Outcome.CANCELLED)
     driver.run(20.0)
@@ -217,7 +217,7 @@
     sends = driver.actions_of(StartAttempt, 7)
     assert len(sends) == 2
     driver.handle(AttemptStarted(7, 1, sends[1].endpoint))
-    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0, GiveUpReason.SUPERSEDED)]
+    assert driver.actions_of(CancelAttempt, 7) == [CancelAttempt(7, 0, CancelReason.SUPERSEDED)]
 
 
 def test_attempts_stay_within_the_limit() -> None:
--- a/tests/testbed/fleet/test_audit.py
+++ b/tests/testbed/fleet/test_audit.py
@@ -44,7 +44,7 @@
     first, second = record.attempts[5], record.attempts[6]
     second.id = first.id
     first.ended_ms = None
-    first.given_up_ms = second.received_ms + 1.0
+    first.cancelled_ms = second.received_ms + 1.0
 
 
 def lose_in_restart(record: RunRecord, sent_after_term_ms: float) -> None:
--- a/tests/upstream/test_cancellation.py
+++ b/tests/upstream/test_cancellation.py
@@ -50,9 +50,9 @@
     async def scenario(harness: NodeHarness) -> None:
         await harness.wait_ready()
         harness.open_clients.append(await harness.submit_job())
-        await harness.wait_until(lambda: harness.jobs)  # it is given up after 0.45 s
+        await harness.wait_until(lambda: harness.jobs)  # it is cancelled after 0.45 s
         await harness.wait_until(lambda: len(harness.jobs) == 2)
-        # The job goes elsewhere only after the executor has heard that it is given up there.
+        # The job goes elsewhere only after the executor has heard that it is cancelled there.
         assert harness.cancelled_attempts == [(harness.jobs[0][0], "/jobs/a1")]
         assert harness.jobs[1][0] != harness.jobs[0][0]
 
--- a/tests/upstream/test_invariants.py
+++ b/tests/upstream/test_invariants.py
@@ -32,7 +32,7 @@
         await harness.wait_ready()
         monkeypatch.setattr(SocketStream, "set_reset_on_close", lambda *_: False)
         harness.open_clients.append(await harness.submit_job())
-        await harness.wait_until(harness.node.engine.invariants.counts)  # it is given up after 0.45 s
+        await harness.wait_until(harness.node.engine.invariants.counts)  # it is cancelled after 0.45 s
         return harness.node.engine.invariants.counts()
 
     assert run_scenario(scenario, "hang", "take") == {"close": 1}
