--- a/burlmoor/testbed/mutations.py
+++ b/burlmoor/testbed/mutations.py
@@ -194,8 +194,8 @@
     ListLease.__init__ = build_confirmed  # type: ignore[method-assign]
 
 
-def _hasty() -> None:
-    """An attempt counts as over once it is cancelled, before its endpoint has heard of that."""
+def _unconfirmed_cancel() -> None:
+    """A cancelled attempt counts as over before its endpoint has heard of that."""
     from burlmoor.engine.attempt_controller import AttemptController  # noqa: PLC0415
 
     cancel_attempt = AttemptController.cancel_attempt
@@ -227,7 +227,7 @@
     "keep-sent": _keep_sent,
     "old-list": _old_list,
     "undrained": _undrained,
-    "hasty": _hasty,
+    "unconfirmed-cancel": _unconfirmed_cancel,
 }
 SABOTAGES: Sabotages = OF_WAITING | OF_SPREAD | OF_WATCH | OF_SOAK
 
--- a/tests/testbed/fleet/test_drills.py
+++ b/tests/testbed/fleet/test_drills.py
@@ -56,3 +56,11 @@
     claims = run_drills(tmp_path, arguments, "old-list")
     assert all(claim["held"] for claim in claims["sound"].values())
     assert not claims["old-list"]["rules broken"]["held"]
+
+
+def test_the_soak_fails_for_nodes_that_take_a_cancellation_for_heard(tmp_path: Path) -> None:
+    """Two attempts at once are not allowed; links are slow, executors hang, a crowd fills descriptors."""
+    arguments = ["soak", "--seconds", "20", "--seed", "8"]
+    claims = run_drills(tmp_path, arguments, "unconfirmed-cancel")
+    assert all(claim["held"] for claim in claims["sound"].values())
+    assert not claims["unconfirmed-cancel"]["rules broken"]["held"]
