Take the ports of the testbed's single nodes from below the kernel's range for connections

The port had been chosen by binding port 0 and closing it, so a connection could get it for its own end before the node bound it. Change: a free port from 30000 to 32767, where neither the kernel nor whole fleets take any.

--- a/burlmoor/testbed/node_process.py
+++ b/burlmoor/testbed/node_process.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -24,6 +25,8 @@
 _ANSWER_WITHIN_SECONDS = 5.0
 _SEED = "5eed"
 _SOCKETS = 4096
+# Below those that the kernel gives to connections (32768 to 60999), above those of whole fleets.
+_PORTS = range(30_000, 32_768)
 _PRODUCT_VARIABLES = ("RELAY_", "BURLMOOR_")
 
 
@@ -47,10 +50,15 @@
 
 
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that is not in use now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port of 127.0.0.1 that is not in use now, and that the kernel gives to no other socket.
+
+    Until the node binds it, a connection from this address could otherwise get it for its own end.
+    """
+    while True:
+        port = secrets.choice(_PORTS)
+        with suppress(OSError), socket.socket() as sock:
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 class NodeProcess:
