--- a/tests/testbed/fleet/test_runs.py
+++ b/tests/testbed/fleet/test_runs.py
@@ -94,8 +94,9 @@
         assert process.is_running
         await process.kill()
 
+    handler = signal.getsignal(signal.SIGHUP)
     trio.run(run)
-    assert signal.getsignal(signal.SIGHUP) is signal.SIG_DFL
+    assert signal.getsignal(signal.SIGHUP) is handler
 
 
 def test_a_child_process_has_the_exit_status_of_the_signal_that_ended_it(tmp_path: Path) -> None:
