Decide in one place whether an idle connection is of use; keep a flag where a moment was kept

Cause: the pool closed expired and ended connections in two places by the same branches, grown with the reasons of closes; the moment of a late retry was stored, and only asked whether it was there. Change: _close_if_unusable; ScheduledAttempt.awaits_late_retry. The last doc comments say cancel. Behaviour as before.

--- a/burlmoor/engine/attempt_controller.py
+++ b/burlmoor/engine/attempt_controller.py
@@ -66,7 +66,7 @@
             self.cancel_attempt(job.attempts[action.attempt], Outcome.CANCELLED, reason, now)
 
     def cancel_attempt(self, attempt: Attempt, outcome: Outcome, reason: CancelReason, now: float) -> None:
-        """Give an attempt up; it ends once its endpoint is known not to hold the job any more.
+        """Cancel an attempt; it ends once its endpoint is known not to hold the job any more.
 
         Without the wait, the job could be sent again while the first endpoint runs it: it may have accepted
         the job just before it hears of this, and one that cannot be reached never hears of it.
--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -37,7 +37,7 @@
 
     @property
     def is_cancelling(self) -> bool:
-        """Whether the node has given it up; its endpoint may hold the job until it has ended."""
+        """Whether the node has cancelled it; its endpoint may hold the job until it has ended."""
         return self.cancelled_as is not None
 
     @property
--- a/burlmoor/engine/job_log.py
+++ b/burlmoor/engine/job_log.py
@@ -1,6 +1,6 @@
 """The log of jobs: one line with all state changes for each job that did not go the plain way.
 
-The plain way is one attempt that is not given up and whose result is the answer: those are counted only.
+The plain way is one attempt that is not cancelled and whose result is the answer: those are counted only.
 """
 
 from __future__ import annotations
@@ -48,7 +48,7 @@
             self._counters.count(CounterGroup.RETRIES, _HEDGED if outcome is None else outcome.value)
 
     def on_attempt_cancelled(self, attempt: Attempt, reason: CancelReason, now: float) -> None:
-        """Note why the node gave an attempt up; the first reason counts."""
+        """Note why the node cancelled an attempt; the first reason counts."""
         if attempt.cancel_reason is None:
             attempt.cancel_reason = reason
             attempt.cancelled_at = now
--- a/burlmoor/policy/retries.py
+++ b/burlmoor/policy/retries.py
@@ -47,8 +47,8 @@
         attempt.check_at = now + self._sender.max_silence_ms
         if attempt.started_at is None and not attempt.is_overdue:
             self._note_overdue(job, attempt, now)
-        elif attempt.started_at is None and attempt.latest_retry_at is not None:
-            attempt.latest_retry_at = None
+        elif attempt.started_at is None and attempt.awaits_late_retry:
+            attempt.awaits_late_retry = False
             self._redistribute_unstarted(job, attempt, now)
         else:
             self._measured.record_attempt_end(attempt.endpoint, False, now)
@@ -67,8 +67,8 @@
             self._redistribute_unstarted(job, attempt, now)
         elif not endpoint.has_reported_since(now - SILENT_ENDPOINT_MS) and now < job.useful_until - retry_ms:
             # It may be far away, or not work: wait for it while another could still serve the job after it.
-            attempt.latest_retry_at = job.useful_until - retry_ms
-            attempt.check_at = min(attempt.check_at, attempt.latest_retry_at)
+            attempt.awaits_late_retry = True
+            attempt.check_at = min(attempt.check_at, job.useful_until - retry_ms)
 
     def _redistribute_unstarted(self, job: ScheduledJob, attempt: ScheduledAttempt, now: float) -> None:
         if self._may_redistribute_unstarted(job, now):
--- a/burlmoor/stats/job.py
+++ b/burlmoor/stats/job.py
@@ -24,7 +24,7 @@
     outcome: Outcome | None = None
     is_cancelling: bool = False  # by the node; pending until its endpoint is known not to hold the job
     is_overdue: bool = False
-    latest_retry_at: float | None = None  # set where a retry waits for the last moment that is of use
+    awaits_late_retry: bool = False  # whether a retry waits for the last moment that is of use
 
     def clear_overdue(self) -> None:
         """Note that the attempt has started or ended."""
--- a/burlmoor/types/events.py
+++ b/burlmoor/types/events.py
@@ -58,7 +58,7 @@
 
 
 class AttemptCancelling(NamedTuple):
-    """The node has given an attempt up, which ends only once its endpoint is known not to hold the job."""
+    """The node has cancelled an attempt, which ends only once its endpoint is known not to hold the job."""
 
     id: int
     attempt: int
--- a/burlmoor/types/reasons.py
+++ b/burlmoor/types/reasons.py
@@ -19,7 +19,7 @@
 
 
 class CancelReason(Enum):
-    """Why the node gave an attempt up; the value is its name in the log."""
+    """Why the node cancelled an attempt; the value is its name in the log."""
 
     OVERDUE = "overdue"  # not started in the time that a start usually takes
     SILENT = "silent"  # started, and reports no progress
--- a/burlmoor/upstream/attempts.py
+++ b/burlmoor/upstream/attempts.py
@@ -167,7 +167,7 @@
         return None
 
     def _outcome_of_broken_response(self, attempt: Attempt, error: BrokenResponseError) -> Outcome | None:
-        """Return the outcome if the endpoint or the network has ended the exchange; else give the attempt up.
+        """Return the outcome if the endpoint or the network has ended the exchange; else cancel the attempt.
 
         Where it is this node that ends it, the endpoint may have accepted the job.
         """
--- a/burlmoor/upstream/pool.py
+++ b/burlmoor/upstream/pool.py
@@ -92,12 +92,7 @@
                 # Without this, a second response to the last request would be taken for this one's (rule 2).
                 continue
             idle.remove(connection)
-            # What is written to a connection that its peer has closed would end as a reset.
-            if now - connection.idle_since >= self._max_idle_seconds():
-                connection.close(CloseReason.IDLE)
-            elif not connection.is_reusable():
-                connection.close(CloseReason.PEER_CLOSED)
-            else:
+            if not _close_if_unusable(connection, now - self._max_idle_seconds()):
                 connection.is_reused = True
                 connection.reused_at = now
                 return connection
@@ -176,14 +171,7 @@
         """Close what has been idle for too long, or was closed by its peer."""
         expired_since = trio.current_time() - self.idle_limit_seconds
         for address, idle in list(self._idle.items()):
-            remaining = []
-            for connection in idle:
-                if connection.idle_since <= expired_since:
-                    connection.close(CloseReason.IDLE)
-                elif not connection.is_reusable():
-                    connection.close(CloseReason.PEER_CLOSED)
-                else:
-                    remaining.append(connection)
+            remaining = [each for each in idle if not _close_if_unusable(each, expired_since)]
             if remaining:
                 self._idle[address] = remaining
             else:
@@ -193,3 +181,17 @@
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
             connection.close(CloseReason.ENDPOINT_CHANGED)
+
+
+def _close_if_unusable(connection: PooledConnection, expired_since: float) -> bool:
+    """Close an idle connection that no request may be written to any more; whether it was one.
+
+    What is written to a connection that its peer has closed would end as a reset.
+    """
+    if connection.idle_since <= expired_since:
+        connection.close(CloseReason.IDLE)
+        return True
+    if not connection.is_reusable():
+        connection.close(CloseReason.PEER_CLOSED)
+        return True
+    return False
