Replace review case 3: a new process uses executors whose drain its agent has

Cause: ListLease.is_valid is always true where lists are pushed, so a process that starts while the agent is silent uses its old list, although it counts as told, from its first moment, of what the agent has.

--- a/review/3/check.py
+++ b/review/3/check.py
@@ -1,113 +1,92 @@
-"""Case 3: a client that sends much behind its request and goes is noticed only seconds later.
+"""Case 3: a node that starts while discovery is down sends work to executors that it counts as told of.
 
-The first executor hands the client's job back unstarted one second after it took it, when the client has
-been gone for long. The node sends the job to further executors, which work for a client that has gone.
+Lists are pushed. A node dies; meanwhile executors begin to drain, and the agent on its machine is sent that;
+then discovery goes down, and the agent is silent. The node starts again with the list that it had last.
 """
 
 from __future__ import annotations
 
 import asyncio
-import socket
+from http import HTTPStatus
 from pathlib import Path
 
-from standins.case import Case, CaseError, run_case
-from standins.client import Job, submit
-from standins.deployment import make_settings
-from standins.executor import ACCEPTED, Attempt
+from standins.case import Case, run_case
+from standins.client import Answer, Job, submit
+from standins.deployment import make_car_hire_settings
+from standins.executor import ACCEPTED, Attempt, Executor
 
 _EXECUTOR_COUNT = 6
-_CLASSES = ("slot-search", "confirm-booking")  # in turn
-_ROUND_COUNT = 6
-_ROUND_SECONDS = 7.0  # until nothing of a round's job is left
-_WORK_MS = 2000.0
-_WARM_JOB_COUNT = 20
-_RUN_SECONDS = 0.1
-_HAND_BACK_SECONDS = 1.0
-_LEAVE_SECONDS = 0.25  # after the request was sent
-_MAX_FLOOD_BYTES = 32 << 20
-_BLOCK = b"x" * (1 << 20)
-_RETRY_SECONDS = 0.001
-_MAX_LATE_SECONDS = 0.1
-_SLACK_SECONDS = 0.05  # every time limit is 50 ms longer
+_LEAVING_COUNT = 4
+_DEPOSIT_COUNT = 20
+_DEPOSIT_TIMEOUT_MS = 20000
+_DEPOSIT_SECONDS = 2.0  # of running
+_WARM_JOB_COUNT = 10
+_WARM_SECONDS = 0.1
+_DRAIN_SECONDS = 3.3  # from the start of the drain until the executors' processes end
+_OUTAGE_AFTER_SECONDS = 1.0  # from the start of the drain until discovery goes down
+_DEPOSITS_AFTER_SECONDS = 0.3  # from the node's readiness
+_GRACE_SECONDS = 0.25 + 0.05  # `StopSendingWithin`, and 50 ms longer
 
 
 def _take(attempt: Attempt) -> bytes:
-    executor = attempt.executor
-    if attempt.request_id.startswith("warm"):
-        executor.start_task(executor.run(attempt, _RUN_SECONDS))
-    else:
-        executor.start_task(_hand_back(attempt))
+    is_warm_job = attempt.request_id.startswith("warm")
+    seconds = _WARM_SECONDS if is_warm_job else _DEPOSIT_SECONDS
+    attempt.executor.start_task(attempt.executor.run(attempt, seconds))
     return ACCEPTED
 
 
-async def _hand_back(attempt: Attempt) -> None:
-    """Hand a job back that has waited and was not started."""
-    await asyncio.sleep(_HAND_BACK_SECONDS)
-    if not attempt.is_cancelled:
-        await attempt.executor.tell(attempt, "returned")
-
-
-async def _flood(sock: socket.socket, case: Case) -> int:
-    """Send as much as the connection takes until it is time to leave; return how many bytes."""
-    leave_at = case.record.now() + _LEAVE_SECONDS
-    sent = 0
-    while sent < _MAX_FLOOD_BYTES and case.record.now() < leave_at:
-        try:
-            sent += sock.send(_BLOCK)
-        except BlockingIOError:
-            await asyncio.sleep(_RETRY_SECONDS)
-    await asyncio.sleep(max(0.0, leave_at - case.record.now()))
-    return sent
-
-
-async def _send_and_leave(case: Case, job: Job) -> float:
-    """Send a request, and much more if the disruption is on; then close the connection and return when."""
-    loop = asyncio.get_running_loop()
-    with socket.socket() as sock:
-        sock.settimeout(0.0)  # non-blocking
-        await loop.sock_connect(sock, case.node.address)
-        await loop.sock_sendall(sock, job.encode())
-        case.record.write(f"bad client: sent {job.request_id} ({job.job_class}, {job.timeout_ms} ms)")
-        if case.has_trouble:
-            sent = await _flood(sock, case)
-            case.record.write(f"bad client: sent {sent} bytes more")
-        else:
-            await asyncio.sleep(_LEAVE_SECONDS)
-    return case.record.write(f"bad client: closed its connection ({job.request_id})")
-
-
-def find_late_attempts(attempts: list[Attempt], request_id: str, closed_at: float) -> list[str]:
-    """Return the attempts of a job that began later after its client's close than allowed.
-
-    Raises:
-        CaseError: the job was never sent.
-    """
-    own = [attempt for attempt in attempts if attempt.request_id == request_id]
-    if not own:
-        text = f"{request_id} was never sent"
-        raise CaseError(text)
+async def _end_processes(executors: list[Executor], at: float, case: Case) -> None:
+    """End the processes of these executors at this time; their machines tell which jobs are lost."""
+    await asyncio.sleep(max(0.0, at - case.record.now()))
+    for executor in executors:
+        case.record.write(f"{executor.name}: its process ends")
+        await executor.end_process()
+
+
+async def _submit_deposits(case: Case) -> list[Answer]:
+    jobs = [
+        Job(f"deposit-{number}", "deposit", _DEPOSIT_TIMEOUT_MS, 2000.0, tenant="taipei")
+        for number in range(_DEPOSIT_COUNT)
+    ]
+    return await asyncio.gather(*(submit(job, case.node.address, case.record) for job in jobs))
+
+
+def find_sends_to_leaving(leaving: list[Executor], started_at: float) -> list[str]:
+    """Return the attempts at executors that drained before the node's process was started."""
     return [
-        f"attempt of {request_id} at {attempt.executor.name} began {attempt.arrived_at - closed_at:.3f} s "
-        "after its client had gone"
-        for attempt in own
-        if attempt.arrived_at - closed_at > _MAX_LATE_SECONDS + _SLACK_SECONDS
+        f"{attempt.request_id} was sent to {executor.name} {attempt.arrived_at - started_at:.3f} s after the "
+        "start of a process that counts as told of its drain from its first moment"
+        for executor in leaving
+        for attempt in executor.attempts
+        if attempt.arrived_at > started_at + _GRACE_SECONDS
     ]
 
 
 async def play(case: Case) -> list[str]:
-    """Let several clients send and leave, and return the attempts that began too late."""
+    """Kill the node, begin the drain and the outage, start the node and send it deposits."""
     await case.start_stand_ins(_EXECUTOR_COUNT, _take)
-    await case.node.start(make_settings())
+    settings, last_list = make_car_hire_settings(), case.discovery.whole_list()
+    await case.node.start(settings, last_list)
     for number in range(_WARM_JOB_COUNT):
-        job_class = _CLASSES[number % len(_CLASSES)]
-        await submit(Job(f"warm-{number}", job_class, 5000, _WORK_MS), case.node.address, case.record)
-    breaks = []
-    for number in range(_ROUND_COUNT):
-        job = Job(f"bad-{number}", _CLASSES[number % len(_CLASSES)], 5000, _WORK_MS)
-        closed_at = await _send_and_leave(case, job)
-        await asyncio.sleep(_ROUND_SECONDS)
-        breaks += find_late_attempts(case.attempts(), job.request_id, closed_at)
-    return breaks
+        key = f"warm-{number}"
+        job = Job(key, "booking", 10000, 500.0, idempotency_key=key, tenant="tainan")
+        await submit(job, case.node.address, case.record)
+    case.node.kill()
+    leaving = case.executors[:_LEAVING_COUNT]
+    for executor in leaving:
+        case.discovery.set_entry(executor.name, health="leaving")
+    ends_at = case.record.now() + _DRAIN_SECONDS
+    await asyncio.sleep(_OUTAGE_AFTER_SECONDS)
+    case.discovery.is_silent = case.has_trouble
+    case.record.write(f"discovery is {'down: its agent is silent' if case.has_trouble else 'up'}")
+    started_at = await case.node.start(settings, last_list)
+    await asyncio.sleep(_DEPOSITS_AFTER_SECONDS)
+    end_task = asyncio.create_task(_end_processes(leaving, ends_at, case))
+    answers = await _submit_deposits(case)
+    await end_task
+    lost = [answer for answer in answers if answer.status == HTTPStatus.BAD_GATEWAY]
+    case.record.write(f"{len(lost)} of {_DEPOSIT_COUNT} deposits that the node had taken failed: 502")
+    return find_sends_to_leaving(leaving, started_at)
 
 
 if __name__ == "__main__":
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -23,13 +23,14 @@
     timeout_ms: int
     work_ms: float
     idempotency_key: str = ""
+    tenant: str = "sahil-net"
 
     def encode(self) -> bytes:
         """Encode the request."""
         headers = {
             "Host": "origin.svc",
             "Request-Id": self.request_id,
-            "Tenant": "sahil-net",
+            "Tenant": self.tenant,
             "Request-Timeout-Ms": str(self.timeout_ms),
             "Work-Hint": str(int(self.work_ms * 1000)),
             "Request-Info": "slots=1",
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -1,6 +1,6 @@
-"""The settings of a small deployment in the form of the simulator's first message.
+"""The settings of two small deployments of one node, in the form of the simulator's first message.
 
-The values are those of the wire page's example (the booking service), for a deployment of one node.
+The values are those of the wire page's example and of the two sites' pages.
 """
 
 from __future__ import annotations
@@ -29,8 +29,8 @@
 CONFIRM_BOOKING = make_class("confirm-booking", "once")
 
 
-def make_settings(slot_search: dict[str, Any] = SLOT_SEARCH) -> dict[str, Any]:
-    """Return the settings object."""
+def make_booking_settings(slot_search: dict[str, Any] = SLOT_SEARCH) -> dict[str, Any]:
+    """Return the settings object of the installers' booking service, `hinai-booking`."""
     return {
         "Balancers": 1,
         "Blend": {"Whole": 0.35, "WorstClass": 0.2, "WorstTenant": 0.1, "WorstWindow": 0.35},
@@ -91,3 +91,32 @@
         "Zone": "sur",
         "Zones": ["muscat", "sohar", "nizwa", "sur"],
     }
+
+
+def make_car_hire_settings() -> dict[str, Any]:
+    """Return the settings object of the car hire office, `hire-core-tw`, where lists are pushed."""
+    settings = make_booking_settings()
+    limits = {"Keepalive": 60000.0, "MayTell": True, "RetryAfter": True}
+    specifics = {
+        "ClassKind": [-1, -1],
+        "ClassPriority": [1, 0],
+        "ClassStretch": [2.0, 1.75],
+        "Progress": 1000.0,
+    }
+    booking = make_class(
+        "booking", "by_key", Credit=5.0, HardLimit=10000.0, RepeatWindow=15000.0, Target=750.0
+    )
+    deposit = make_class("deposit", "once", Credit=3.0, HardLimit=20000.0, Target=500.0)
+    return settings | {
+        "Limits": settings["Limits"] | limits,
+        "Orgs": [
+            {"Name": "taipei", "Portion": 0.5, "QuotaRps": 30.0},
+            {"Name": "tainan", "Portion": 0.5, "QuotaRps": 30.0},
+        ],
+        "OverShareWorth": 0.05,
+        "RegistryMode": "push",
+        "RequestClasses": [booking, deposit],
+        "Rules": settings["Rules"] | {"FallMultiple": 2.5, "OverloadFor": 3000.0, "StartCapacity": 0.15},
+        "Specifics": settings["Specifics"] | specifics,
+        "Tick": 4.0,
+    }
--- a/review/standins/discovery.py
+++ b/review/standins/discovery.py
@@ -21,9 +21,14 @@
 
 
 class Discovery:
-    """Answers calls at once and holds watches open, as the protocol page says."""
+    """Answers calls at once and holds watches open, as the protocol page says.
+
+    Where lists are pushed, it is the agent on the node's machine: what it has counts as told. `is_silent` is
+    whether discovery is down: then the agent answers nothing, on open connections and new ones.
+    """
 
     def __init__(self, record: Record) -> None:
+        self.is_silent = False
         self._record = record
         self._server = Server(_HOST, self._respond)
         self._version = _FIRST_VERSION
@@ -57,7 +62,11 @@
         """Return the whole list."""
         return {"seq": self._version, "whole": True, "hosts": list(self._entries.values())}
 
-    async def _respond(self, request: Message) -> bytes:
+    async def _respond(self, request: Message) -> bytes | None:
+        response = await self._answer(request)
+        return None if self.is_silent else response
+
+    async def _answer(self, request: Message) -> bytes:
         query = parse_qs(urlsplit(request.target).query)
         if "after" not in query:
             return _encode_list(self.whole_list())
--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -30,6 +30,7 @@
     arrived_at: float  # seconds since the run began
     idempotency_key: str
     is_cancelled: bool = False
+    has_ended: bool = False
 
 
 class Executor:
@@ -70,6 +71,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def end_process(self) -> None:
+        """End the process: its jobs are lost, which its machine tells, and connections are refused."""
+        self.close()
+        for attempt in self.attempts:
+            if not (attempt.has_ended or attempt.is_cancelled):
+                await self.tell(attempt, "lost")
+
     async def _respond(self, request: Message) -> bytes | None:
         if request.method == "DELETE":
             return self._cancel(request.target.rsplit("/", 1)[-1])
@@ -105,4 +113,5 @@
         await self.tell(attempt, "started")
         await asyncio.sleep(seconds)
         if not attempt.is_cancelled:
+            attempt.has_ended = True
             await self.tell(attempt, "done", result=f"{attempt.request_id} by {self.name}")
--- a/review/standins/node.py
+++ b/review/standins/node.py
@@ -7,6 +7,7 @@
 import os
 import socket
 import subprocess
+import tempfile
 import tomllib
 from http import HTTPStatus
 from pathlib import Path
@@ -45,8 +46,11 @@
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
 
-    async def start(self, settings: dict[str, Any], sockets: int = 1024) -> None:
-        """Start the process with discovery's present list as the known one; wait until the node is ready."""
+    async def start(self, settings: dict[str, Any], known: dict[str, Any], sockets: int = 1024) -> float:
+        """Start the process with this list as the known one, and wait until the node is ready.
+
+        Returns when the process was started, in seconds since the run began.
+        """
         host, port = self.address
         discovery_host, discovery_port = self._discovery.address
         config = {
@@ -55,30 +59,29 @@
             "discovery": f"{discovery_host}:{discovery_port}",
             "seed": os.urandom(8).hex(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": self._discovery.whole_list(),
+            "known": known,
             "settings": settings,
         }
         (self._folder / "config.json").write_text(json.dumps(config))
-        self._start_process(config["listen"], config["discovery"])
+        started_at = self._start_process(config["listen"], config["discovery"])
         await self._wait_until_ready()
+        return started_at
 
-    def _start_process(self, listen: str, discovery: str) -> None:
-        temporary_folder = self._folder / "tmp"
-        temporary_folder.mkdir()
+    def _start_process(self, listen: str, discovery: str) -> float:
         environment = {
             "PATH": os.environ["PATH"],
             "RELAY_CONFIG": str(self._folder / "config.json"),
             "RELAY_DISCOVERY": discovery,
             "RELAY_LISTEN": listen,
             "RELAY_NAME": "n0",
-            "TMPDIR": str(temporary_folder),
+            "TMPDIR": tempfile.mkdtemp(dir=self._folder),
         }
         command = tomllib.loads((_ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        with (self._folder / "log").open("wb") as log:
+        with (self._folder / "log").open("ab") as log:
             self._process = subprocess.Popen(
                 ["/bin/sh", "-c", command], cwd=_ROOT, env=environment, stdout=log, stderr=log
             )
-        self._record.write(f"node: process {self._process.pid} started: {command}")
+        return self._record.write(f"node: process {self._process.pid} started: {command}")
 
     async def _wait_until_ready(self) -> None:
         deadline = self._record.now() + _READY_TIMEOUT_SECONDS
@@ -109,7 +112,7 @@
         if self._process is not None and self._is_running():
             self._process.kill()
             self._process.wait(_EXIT_TIMEOUT_SECONDS)
-            self._record.write("node: killed at the end of the run")
+            self._record.write("node: SIGKILL")
 
 
 def _find_free_port() -> int:
