Give a new process no lease on a pushed list before its agent has answered

Cause: ListLease.is_valid was true in every state where lists are pushed, so the cached list, which may be of any age, was used before any answer.

Evidence: the node's log shows `started` with the cached version 47, ten `watch-timed-out` from the start on and no suspension; with TROUBLE=0 it has version 51 and `endpoints-draining` before `started`.

Change: where lists are pushed, a lease is given by an answer of the agent and by nothing else. The start is the same as where discovery is polled: the process refuses connections until its first answer, 5 s at most, then rejects jobs.

Why this works: the lease is checked at every send, so no path can use the list before an answer; and once the agent has answered, it falls silent only when it has no new changes.

--- a/burlmoor/discovery/list_lease.py
+++ b/burlmoor/discovery/list_lease.py
@@ -1,4 +1,4 @@
-"""The lease on the endpoint list: how long a node that polls discovery may use the list that it has.
+"""The lease on the endpoint list: how long a node may use the list that it has.
 
 Pure: no socket and no clock; times are in seconds. Discovery may change the list at any moment, and a node
 counts as notified of a change at the latest `NOTIFICATION_SECONDS` later, whether or not the change has
@@ -24,8 +24,9 @@
 A process that has just started has a list of unknown age. It has no lease until discovery has answered with
 a list: changes announced before the start count as notified even if discovery is down now.
 
-Where lists are pushed, the agent is on this machine. It is silent while discovery is down, and the list stays
-valid.
+Where lists are pushed, the same holds for a process that has just started: the node counts as notified of
+every change that the agent on this machine has. Once the agent has answered, the lease does not expire: the
+agent is silent only while discovery is down, and has no new changes then.
 """
 
 from __future__ import annotations
@@ -47,7 +48,8 @@
 class ListLease:
     """Keeps the time until which the endpoint list may be used.
 
-    `has_agent` is whether an agent on this machine pushes the lists, in which case the lease never expires.
+    `has_agent` is whether an agent on this machine pushes the lists. A lease that it has confirmed does not
+    expire.
     """
 
     def __init__(self, *, has_agent: bool) -> None:
@@ -114,8 +116,8 @@
 
     def is_valid(self, now: float) -> bool:
         """Return whether the list may be used now."""
-        return self._has_agent or (self.is_confirmed and now < self._expires_at)
+        return self.is_confirmed and now < self.expires_at()
 
     def expires_at(self) -> float:
         """Return when the list has to be suspended unless the lease is renewed before then."""
-        return math.inf if self._has_agent else self._expires_at
+        return math.inf if self._has_agent and self.is_confirmed else self._expires_at
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -25,10 +25,9 @@
     from burlmoor.deferred import DeferredService
     from burlmoor.log import EventLogger
 
-# How long a process waits for its first endpoint list before it accepts clients without one. An agent answers
-# immediately. Where discovery is polled, clients may already be connecting to a listener that was passed to
-# this process, and no predecessor serves them. In all other cases the limit is `FIRST_CONTACT_SECONDS`.
-_FIRST_AGENT_LIST_TIMEOUT_SECONDS = 0.2
+# How long a process waits for its first endpoint list before it accepts clients without one, if clients may
+# already be connecting to a listener that was passed to it and no predecessor serves them. In all other cases
+# the limit is `FIRST_CONTACT_SECONDS`.
 _UNSERVED_CLIENTS_TIMEOUT_SECONDS = 0.5
 _IDLE_SWEEP_INTERVAL_SECONDS = 1.0
 _COUNTS_INTERVAL_SECONDS = 10.0  # between `counts` log events
@@ -84,9 +83,8 @@
         await self.handover.contact_predecessor()
         discovery = self.components.discovery
         self._nursery.start_soon(discovery.run)
-        # The cached list may be of any age, so without this wait the node might send jobs to endpoints that
-        # are draining. The node also counts as notified of every change that an agent has. Meanwhile new
-        # connections are refused, and clients connect to other nodes or to the predecessor.
+        # The cached list may be of any age, so this process sends no job before discovery has answered.
+        # Until then new connections are refused, and clients connect to other nodes or to the predecessor.
         with trio.move_on_after(self._first_contact_timeout()):
             await discovery.first_contact.wait()
         if self._config.listener_fd is None:
@@ -95,8 +93,6 @@
 
     def _first_contact_timeout(self) -> float:
         """Return the seconds to wait for discovery before accepting clients."""
-        if not self._config.settings.policy.pulls_endpoint_list:
-            return _FIRST_AGENT_LIST_TIMEOUT_SECONDS
         is_listening = self._config.listener_fd is not None
         if is_listening and not self.handover.has_predecessor:
             return _UNSERVED_CLIENTS_TIMEOUT_SECONDS
--- a/tests/integration/test_list_lease.py
+++ b/tests/integration/test_list_lease.py
@@ -165,3 +165,20 @@
         await send_jobs(cluster, SEARCH, "bb", 60, 0.03)
         assert count_served(cluster, "bb") > 30
         assert not late_attempts(cluster, started_ms)
+
+
+async def test_a_process_whose_agent_is_silent_since_its_start_sends_nothing(tmp_path: Path) -> None:
+    # Guards against jobs sent by a cached list to executors whose drain the agent had before the start.
+    async with open_linked_cluster(tmp_path, RegistryMode="push") as cluster:
+        node = cluster.nodes[0]
+        old_list = await kill_before_departures(cluster)
+        cluster.discovery_link_of(node.name).cut()
+        started_ms = now_ms()
+        await cluster.start_node(node, old_list)
+        await send_jobs(cluster, SEARCH, "aa", 60, 0.03)
+        assert not cluster.event_record.attempts
+        cluster.discovery_link_of(node.name).heal()
+        await trio.sleep(1.0)
+        await send_jobs(cluster, SEARCH, "bb", 60, 0.03)
+        assert count_served(cluster, "bb") > 30
+        assert not late_attempts(cluster, started_ms)
