Keep the list in use if an answer renews its lease just before it is suspended

What callers saw: nothing yet. Meanwhile jobs wait, and attempts without a 202 are withdrawn.

Cause: the task that suspends an expired list is woken by the lease's end, and runs after other tasks of the same moment. If the answer is handled among these, the lease is renewed and the list resumed, and then this task suspends it all the same. On sockets it takes an answer at the very end of the lease, or a stalled process that finds both when it runs again. Where lists are pushed, the list could not be suspended before, so the fault reached only the polled mode.

Change: the task checks the lease again before it suspends the list.

--- a/burlmoor/discovery/client.py
+++ b/burlmoor/discovery/client.py
@@ -100,7 +100,9 @@
             with trio.move_on_at(self._lease.expires_at()):
                 await self._lease_changed.wait()
                 continue
-            self._endpoint_updater.suspend(round(self._schedule.age_seconds(trio.current_time()), 2))
+            now = trio.current_time()
+            if not self._lease.is_valid(now):  # an answer may have renewed it since this task was woken
+                self._endpoint_updater.suspend(round(self._schedule.age_seconds(now), 2))
             await self._lease_changed.wait()
 
     async def _call_forever(self) -> None:
