Suspend a pushed list after SIGHUP unless the agent at the new address answers in time

What callers see: after SIGHUP names another agent that is silent, the node sends jobs by the list of the earlier one without end, also to executors whose drain the new agent has had for hours.

A lease on a pushed list never expired once it had been given, so the change of the address, which shortens a lease to 4 s, had no effect.

Change: an answer gives a pushed list a lease without end, and the change of the address ends it 4 s later like that of a polled one. Only an answer renews it: a rejection or a reset by the agent no longer counts as a sign that discovery is down, since that agent is up and may have changes. A list that an answer has confirmed stays valid while its agent is silent.

--- a/burlmoor/discovery/list_lease.py
+++ b/burlmoor/discovery/list_lease.py
@@ -24,9 +24,11 @@
 A process that has just started has a list of unknown age. It has no lease until discovery has answered with
 a list: changes announced before the start count as notified even if discovery is down now.
 
-Where lists are pushed, the same holds for a process that has just started: the node counts as notified of
-every change that the agent on this machine has. Once the agent has answered, the lease does not expire: the
-agent is silent only while discovery is down, and has no new changes then.
+Where lists are pushed, the calls go to an agent on this machine, and the node counts as notified of every
+change that the agent has: of changes from before the start of a process at once, and of those that an agent
+at a new address has `_ADDRESS_CHANGE_SECONDS` after the address change. So only an answer renews the lease.
+From then on the lease does not expire until the next address change: the agent is silent only while discovery
+is down, and has no new changes then.
 """
 
 from __future__ import annotations
@@ -48,8 +50,8 @@
 class ListLease:
     """Keeps the time until which the endpoint list may be used.
 
-    `has_agent` is whether an agent on this machine pushes the lists. A lease that it has confirmed does not
-    expire.
+    `has_agent` is whether an agent on this machine pushes the lists. A lease that it has confirmed expires
+    only after an address change.
     """
 
     def __init__(self, *, has_agent: bool) -> None:
@@ -86,7 +88,7 @@
 
     def _on_failure(self, result: CallResult, now: float) -> None:
         self._failures_since_silence += 1
-        if not self.is_confirmed or now >= self._expires_at:
+        if self._has_agent or not self.is_confirmed or now >= self._expires_at:
             self._failures_needed = math.inf
         elif result is not CallResult.REFUSED_OR_RESET:
             self._failures_needed = 1  # a response shows that discovery can be reached
@@ -98,7 +100,7 @@
         latest = self._call_started_at + self._call_wait_seconds + allowance_seconds
         confirmed_at = now if now <= latest else self._call_started_at
         self.is_confirmed = True
-        self._expires_at = confirmed_at + NOTIFICATION_SECONDS
+        self._expires_at = math.inf if self._has_agent else confirmed_at + NOTIFICATION_SECONDS
         self._failures_since_silence = 0
         self._failures_needed = math.inf if self._has_agent else 1
 
@@ -116,8 +118,8 @@
 
     def is_valid(self, now: float) -> bool:
         """Return whether the list may be used now."""
-        return self.is_confirmed and now < self.expires_at()
+        return self.is_confirmed and now < self._expires_at
 
     def expires_at(self) -> float:
         """Return when the list has to be suspended unless the lease is renewed before then."""
-        return math.inf if self._has_agent and self.is_confirmed else self._expires_at
+        return self._expires_at
--- a/tests/discovery/test_list_lease.py
+++ b/tests/discovery/test_list_lease.py
@@ -146,8 +146,9 @@
     assert not lease.awaits_second_failure
 
 
-def test_an_address_change_shortens_the_lease_until_the_next_answer() -> None:
-    lease = ListLease(has_agent=False)
+@pytest.mark.parametrize("has_agent", [False, True])
+def test_an_address_change_shortens_the_lease_until_the_next_answer(*, has_agent: bool) -> None:
+    lease = ListLease(has_agent=has_agent)
     now = make_calls(lease, ANSWERED_CALL)
     lease.on_address_changed(now)
     assert lease.is_valid(now + 3.9)
