Renew no lease by a response from an earlier address of discovery

What callers see: in rare cases, jobs sent for up to 6 s, where 4 s are allowed, and without end where lists are pushed, by the list of a discovery or an agent that SIGHUP has replaced.

Cause: set_address cancels the call to the earlier address, but a call whose last bytes have just been read is not cancelled any more. Its response then renewed the lease that the change of the address had shortened, and, if it was a failure, delayed the first call to the new address. It takes a SIGHUP that is handled in the same step of the event loop as the response.

Change: after each response the client checks whether its call was cancelled, and if so drops the outcome.

Measured: tests of discovery, endpoints, lifecycle and integration pass.

--- a/burlmoor/discovery/client.py
+++ b/burlmoor/discovery/client.py
@@ -119,6 +119,8 @@
         self._schedule.on_call_started(started_at)
         self._lease.on_call_started(started_at, 0.0 if call.is_full_list else call.wait_seconds)
         outcome = await self._apply_response_to(call)
+        # If the address changed while the response was read, it does not confirm the list of the new address.
+        await trio.lowlevel.checkpoint_if_cancelled()
         now = trio.current_time()
         self._lease.on_call_ended(outcome.result, now)
         self._schedule.on_call_ended(outcome.result, now, must_retry_soon=self._lease.awaits_second_failure)
--- a/tests/discovery/test_list_validity.py
+++ b/tests/discovery/test_list_validity.py
@@ -25,6 +25,7 @@
 ADDRESS, OTHER_ADDRESS = "127.0.0.1:1", "127.0.0.1:2"
 FULL_LIST = b'{"seq":41,"whole":true,"hosts":[{"host":"e0","dial":"127.0.0.1:9","health":"active"}]}'
 NO_CHANGES = b'{"seq":41,"whole":false,"hosts":[]}'
+WATCH_SECONDS = 1.0  # from a watch to its answer, if nothing changes
 ADDRESS_CHANGE_SECONDS = 4.0  # until the node counts as notified of the changes at the other address
 MARGIN_SECONDS = 0.1
 
@@ -47,6 +48,7 @@
 
     def __init__(self, *, has_agent: bool) -> None:
         self.reactions = {ADDRESS: Reaction.ANSWER, OTHER_ADDRESS: Reaction.SILENCE}
+        self.next_address: str | None = None  # which SIGHUP names while the next response is being read
         lease = ListLease(has_agent=has_agent)
         self.directory = EndpointDirectory(
             from_unix=lambda unix_ms: unix_ms, has_lease=lambda: lease.is_valid(trio.current_time())
@@ -64,12 +66,15 @@
 
     async def call(self, address: str, _method: bytes, path: bytes) -> Response:
         """React as discovery at this address does."""
-        reaction = self.reactions[address]
-        if reaction is Reaction.SILENCE:
-            await trio.sleep_forever()
         wait_ms = path.partition(b"wait_ms=")[2]
-        await trio.sleep(float(wait_ms or 0.0) / 1000.0)
-        match reaction:
+        if self.reactions[address] is not Reaction.SILENCE:
+            await trio.sleep(float(wait_ms or 0.0) / 1000.0)
+        if self.next_address is not None:
+            self.client.set_address(self.next_address)
+            self.next_address = None
+        match self.reactions[address]:
+            case Reaction.SILENCE:
+                await trio.sleep_forever()
             case Reaction.RESET:
                 raise ConnectionEndedError
             case Reaction.REJECTION:
@@ -124,3 +129,19 @@
     watched.reactions[OTHER_ADDRESS] = Reaction.SILENCE  # discovery is down, so the list does not change
     await trio.sleep(60.0)
     assert watched.is_in_use()
+
+
+@pytest.mark.parametrize("has_agent", [False, True])
+@pytest.mark.parametrize("reaction", [Reaction.ANSWER, Reaction.REJECTION, Reaction.RESET])
+async def test_a_response_from_an_earlier_address_does_not_renew_the_lease(
+    reaction: Reaction, nursery: trio.Nursery, autojump_clock: trio.abc.Clock, *, has_agent: bool
+) -> None:
+    # Guards against jobs sent by the list of an earlier address, whose response is read together with SIGHUP.
+    watched = WatchedList(has_agent=has_agent)
+    nursery.start_soon(watched.client.run)
+    await trio.sleep(30.5)
+    watched.reactions[ADDRESS] = reaction
+    watched.next_address = OTHER_ADDRESS
+    await trio.sleep(WATCH_SECONDS + ADDRESS_CHANGE_SECONDS + MARGIN_SECONDS)
+    assert watched.next_address is None
+    assert not watched.is_in_use()
