End the lease on a pushed list if its agent falls silent after a failed call

What callers would see: jobs sent without end, until the agent answers, to executors whose drain the agent received after a watch was reset and just before discovery went down.

A silent agent was taken for one without new changes, whatever went before. That holds if its last call was answered, since the next one follows at once.

Change: a silence after such a failure ends the lease on a pushed list, until the next answer. The call after a failure is made after 0.05 s (0.1 s) and times out after 0.2 s as before, so that the lease ends 0.25 s after the failure; with 0.1 s it would end at the drain rule's limit itself.

Cost: in an outage of discovery that begins with a reset, the list is suspended.

--- a/burlmoor/discovery/list_lease.py
+++ b/burlmoor/discovery/list_lease.py
@@ -26,9 +26,10 @@
 
 Where lists are pushed, the calls go to an agent on this machine, and the node counts as notified of every
 change that the agent has: of changes from before the start of a process at once, and of those that an agent
-at a new address has `_ADDRESS_CHANGE_SECONDS` after the address change. So only an answer renews the lease.
-From then on the lease does not expire until the next address change: the agent is silent only while discovery
-is down, and has no new changes then.
+at a new address has `_ADDRESS_CHANGE_SECONDS` after the address change. So only an answer renews the lease,
+which from then on does not expire by time alone: an agent that falls silent after an answer has no new
+changes, since discovery is down. An agent that falls silent after a call that failed in another way may have
+received changes in between, so that silence ends the lease.
 """
 
 from __future__ import annotations
@@ -50,8 +51,7 @@
 class ListLease:
     """Keeps the time until which the endpoint list may be used.
 
-    `has_agent` is whether an agent on this machine pushes the lists. A lease that it has confirmed expires
-    only after an address change.
+    `has_agent` is whether an agent on this machine pushes the lists.
     """
 
     def __init__(self, *, has_agent: bool) -> None:
@@ -78,11 +78,14 @@
         if result is CallResult.ANSWERED:
             self._renew(now, _ANSWER_ALLOWANCE_SECONDS)
         elif result in _SILENT_RESULTS:
-            self._on_silence()
+            self._on_silence(now)
         else:
             self._on_failure(result, now)
 
-    def _on_silence(self) -> None:
+    def _on_silence(self, now: float) -> None:
+        if self._has_agent and self.is_confirmed and self._failures_since_silence > 0:
+            # The agent may have received changes between the failure and this silence.
+            self._expires_at = min(self._expires_at, now)
         self._failures_since_silence = 0
         self._failures_needed = max(2, self._failures_needed)
 
--- a/burlmoor/discovery/schedule.py
+++ b/burlmoor/discovery/schedule.py
@@ -62,7 +62,7 @@
 _MIN_JITTER_FRACTION = 0.25  # of the maximum jitter; the least delay after a failure
 _FAILED_CALL_FACTOR = 4.0  # times the poll interval: notification deadline after a failure
 _SHORT_WAIT_SECONDS = 0.1  # the wait of a watch that should be answered soon: after a failure, at the start
-_AGENT_RETRY_SECONDS = 0.1  # before the next call to an agent after a failure
+_AGENT_RETRY_SECONDS = 0.05  # before the next call to an agent after a failure
 _AGENT_ALLOWANCE_SECONDS = 0.1  # until an agent's answer is overdue, after a failure or at the start
 
 
--- a/tests/discovery/test_list_validity.py
+++ b/tests/discovery/test_list_validity.py
@@ -27,6 +27,7 @@
 NO_CHANGES = b'{"seq":41,"whole":false,"hosts":[]}'
 WATCH_SECONDS = 1.0  # from a watch to its answer, if nothing changes
 ADDRESS_CHANGE_SECONDS = 4.0  # until the node counts as notified of the changes at the other address
+DRAIN_GRACE_SECONDS = 0.25 + 0.05  # after the notification; the protocol adds 50 ms to each time limit
 MARGIN_SECONDS = 0.1
 
 
@@ -48,6 +49,7 @@
 
     def __init__(self, *, has_agent: bool) -> None:
         self.reactions = {ADDRESS: Reaction.ANSWER, OTHER_ADDRESS: Reaction.SILENCE}
+        self.was_reset = trio.Event()
         self.next_address: str | None = None  # which SIGHUP names while the next response is being read
         lease = ListLease(has_agent=has_agent)
         self.directory = EndpointDirectory(
@@ -76,6 +78,7 @@
             case Reaction.SILENCE:
                 await trio.sleep_forever()
             case Reaction.RESET:
+                self.was_reset.set()
                 raise ConnectionEndedError
             case Reaction.REJECTION:
                 return Response(HTTPStatus.SERVICE_UNAVAILABLE, {}, b"")
@@ -145,3 +148,22 @@
     await trio.sleep(WATCH_SECONDS + ADDRESS_CHANGE_SECONDS + MARGIN_SECONDS)
     assert watched.next_address is None
     assert not watched.is_in_use()
+
+
+async def test_a_pushed_list_is_suspended_in_time_if_its_agent_falls_silent_after_a_reset(
+    nursery: trio.Nursery, autojump_clock: trio.abc.Clock
+) -> None:
+    # Guards against jobs sent by a list without the drains that the agent received just before its silence.
+    watched = WatchedList(has_agent=True)
+    nursery.start_soon(watched.client.run)
+    await trio.sleep(30.0)
+    watched.reactions[ADDRESS] = Reaction.RESET
+    await watched.was_reset.wait()
+    watched.reactions[ADDRESS] = Reaction.SILENCE
+    await trio.sleep(DRAIN_GRACE_SECONDS)
+    assert not watched.is_in_use()
+    await trio.sleep(60.0)
+    assert not watched.is_in_use()
+    watched.reactions[ADDRESS] = Reaction.ANSWER
+    await trio.sleep(0.5)
+    assert watched.is_in_use()
