Split the lease on the endpoint list into one for polled and one for pushed lists

Each rule is now read in one class: PolledListLease, PushedListLease, with what they share in ListLease.

Behaviour is unchanged; the tests of the lease are the same but for the constructors.

--- a/burlmoor/discovery/schedule.py
+++ b/burlmoor/discovery/schedule.py
@@ -25,7 +25,7 @@
 
 A silent watch looks like one without changes; the only indication is that its answer is overdue. A call that
 follows directly on an answer is not queued and costs discovery nothing, so the wait may be short. A node that
-has just started uses its old list only once discovery has answered (`list_lease.py`).
+has just started uses its cached list only once discovery has answered (`list_lease.py`).
 
 Where lists are pushed, the address is that of an agent on this machine, which answers immediately and at no
 cost. The node counts as notified of every change that the agent has, with or without a watch. From 250 ms
--- a/burlmoor/lifecycle/node_builder.py
+++ b/burlmoor/lifecycle/node_builder.py
@@ -11,7 +11,8 @@
 from burlmoor.admin.service import AdminService
 from burlmoor.clock import Clock
 from burlmoor.discovery.client import DiscoveryClient
-from burlmoor.discovery.list_lease import ListLease
+from burlmoor.discovery.polled_list_lease import PolledListLease
+from burlmoor.discovery.pushed_list_lease import PushedListLease
 from burlmoor.discovery.schedule import WatchSchedule
 from burlmoor.downstream.drain import DrainController, compute_grace_period_seconds
 from burlmoor.downstream.server import build_downstream_server
@@ -57,7 +58,7 @@
     core = EngineCore(policy_settings, config.seed, clock, log, engine_loop.wake)
     sockets = divide_descriptors(config.max_sockets)
     pool = _build_pool(config, core, sockets.upstream)
-    lease = ListLease(has_agent=not policy_settings.pulls_endpoint_list)
+    lease = PolledListLease() if policy_settings.pulls_endpoint_list else PushedListLease()
     directory = EndpointDirectory(clock.from_unix, lambda: lease.is_valid(trio.current_time()))
     attempts = _build_attempt_runner(core, directory, pool, nursery)
     withdrawal = AttemptWithdrawal(attempts, directory, core.invariants, nursery, log)
--- a/burlmoor/testbed/mutations/endpoint_list.py
+++ b/burlmoor/testbed/mutations/endpoint_list.py
@@ -57,8 +57,8 @@
     _remove_list_lease()
     init = ListLease.__init__
 
-    def init_confirmed(self: ListLease, *, has_agent: bool) -> None:
-        init(self, has_agent=has_agent)
+    def init_confirmed(self: ListLease) -> None:
+        init(self)
         self.is_confirmed = True
 
     replace_attributes(ListLease, __init__=init_confirmed)
--- a/tests/discovery/test_list_lease.py
+++ b/tests/discovery/test_list_lease.py
@@ -4,14 +4,15 @@
 
 import math
 from itertools import pairwise
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burlmoor.discovery.list_lease import ListLease
+from burlmoor.discovery.polled_list_lease import PolledListLease
+from burlmoor.discovery.pushed_list_lease import PushedListLease
 from burlmoor.discovery.schedule import CallResult
 from burlmoor.upstream.errors import (
     BrokenResponseError,
@@ -20,6 +21,9 @@
     shows_peer_reachable,
 )
 
+if TYPE_CHECKING:
+    from burlmoor.discovery.list_lease import ListLease
+
 ANSWERED, INVALID = CallResult.ANSWERED, CallResult.INVALID
 REFUSED, REJECTED = CallResult.REFUSED_OR_RESET, CallResult.REJECTED
 TIMED_OUT, UNREACHABLE = CallResult.TIMED_OUT, CallResult.UNREACHABLE
@@ -85,7 +89,7 @@
 
 @given(calls, st.floats(0.0, 20.0))
 def test_the_lease_expires_six_seconds_after_the_last_confirmation(drawn: list[Call], later: float) -> None:
-    lease = ListLease(has_agent=False)
+    lease = PolledListLease()
     now = make_calls(lease, *drawn)
     expires = last_confirmation(drawn) + 6.0
     assert lease.is_valid(now + later) is (now + later < expires)
@@ -96,7 +100,7 @@
 @given(calls, st.floats(0.0, 20.0))
 def test_only_an_answer_of_the_agent_gives_a_new_process_its_lease(drawn: list[Call], later: float) -> None:
     # Guards against a process that uses its cached list although its agent has never answered.
-    lease = ListLease(has_agent=True)
+    lease = PushedListLease()
     now = make_calls(lease, *drawn)
     results = [call.result for call in drawn]
     is_confirmed = ANSWERED in results
@@ -141,7 +145,7 @@
     ],
 )
 def test_which_calls_renew_the_lease(ended_calls: list[Call], *, is_valid: bool) -> None:
-    lease = ListLease(has_agent=False)
+    lease = PolledListLease()
     now = make_calls(lease, *ended_calls)
     assert lease.is_valid(now) is is_valid
 
@@ -162,13 +166,13 @@
     ended_calls: list[Call], *, is_valid: bool
 ) -> None:
     # Guards against a list without the changes that the agent received between the failure and its silence.
-    lease = ListLease(has_agent=True)
+    lease = PushedListLease()
     now = make_calls(lease, *ended_calls)
     assert lease.is_valid(now) is is_valid
 
 
 def test_only_a_failure_after_a_silence_awaits_a_second_failure() -> None:
-    lease = ListLease(has_agent=False)
+    lease = PolledListLease()
     make_calls(lease, ANSWERED_CALL, REFUSED_CALL)
     assert not lease.awaits_second_failure  # discovery is down: call it rarely
     make_calls(lease, ANSWERED_CALL, SILENT_CALL, REFUSED_CALL)
@@ -177,9 +181,9 @@
     assert not lease.awaits_second_failure
 
 
-@pytest.mark.parametrize("has_agent", [False, True])
-def test_an_address_change_shortens_the_lease_until_the_next_answer(*, has_agent: bool) -> None:
-    lease = ListLease(has_agent=has_agent)
+@pytest.mark.parametrize("lease_type", [PolledListLease, PushedListLease])
+def test_an_address_change_shortens_the_lease_until_the_next_answer(lease_type: type[ListLease]) -> None:
+    lease = lease_type()
     now = make_calls(lease, ANSWERED_CALL)
     lease.on_address_changed(now)
     assert lease.is_valid(now + 3.9)
--- a/tests/discovery/test_list_validity.py
+++ b/tests/discovery/test_list_validity.py
@@ -11,7 +11,9 @@
 import trio
 
 from burlmoor.discovery.client import DiscoveryClient
-from burlmoor.discovery.list_lease import FIRST_CONTACT_SECONDS, ListLease
+from burlmoor.discovery.list_lease import FIRST_CONTACT_SECONDS
+from burlmoor.discovery.polled_list_lease import PolledListLease
+from burlmoor.discovery.pushed_list_lease import PushedListLease
 from burlmoor.endpoints.directory import EndpointDirectory
 from burlmoor.endpoints.discovered_list import DiscoveredList
 from burlmoor.endpoints.list_updater import EndpointListUpdater
@@ -51,7 +53,7 @@
         self.reactions = {ADDRESS: Reaction.ANSWER, OTHER_ADDRESS: Reaction.SILENCE}
         self.was_reset = trio.Event()
         self.next_address: str | None = None  # which SIGHUP names while the next response is being read
-        lease = ListLease(has_agent=has_agent)
+        lease = PushedListLease() if has_agent else PolledListLease()
         self.directory = EndpointDirectory(
             from_unix=lambda unix_ms: unix_ms, has_lease=lambda: lease.is_valid(trio.current_time())
         )
--- a/tests/discovery/test_schedule.py
+++ b/tests/discovery/test_schedule.py
@@ -13,7 +13,7 @@
 import trio.testing
 
 from burlmoor.discovery.client import DiscoveryClient
-from burlmoor.discovery.list_lease import ListLease
+from burlmoor.discovery.polled_list_lease import PolledListLease
 from burlmoor.discovery.schedule import CallResult, WatchSchedule
 from burlmoor.endpoints.directory import EndpointDirectory
 from burlmoor.endpoints.discovered_list import DiscoveredList
@@ -202,7 +202,7 @@
         cast("Any", discovery),
         "127.0.0.1:1",
         new_schedule(200, 3),
-        ListLease(has_agent=False),
+        PolledListLease(),
         discard_log_event,
     )
     started_at = trio.current_time()
