Close a connection whose attempt a call-back ended before its response was lost

What callers saw: after as many such attempts as the node may have connections to executors (134 with 512 descriptors), every job was rejected with 503, with idle executors and /health/ready at 200, until a restart.

Cause: AttemptRunner._exchange returned without closing the connection if the response failed and the attempt was over, since "this node has closed the connection". That holds for a cancelled attempt, not for one that a call-back has ended: ConnectionPool.open_count was never lowered for it.

Change: each exchange runs in PooledConnection.close_on_error, which closes on any error. It replaces the same handling in three places (attempts, request sender, calls).

--- a/burlmoor/upstream/attempts.py
+++ b/burlmoor/upstream/attempts.py
@@ -10,7 +10,7 @@
 
 from burlmoor.log_events import AttemptError
 from burlmoor.types.outcome import Outcome
-from burlmoor.types.reasons import CancelReason, CloseReason
+from burlmoor.types.reasons import CancelReason
 from burlmoor.upstream.errors import (
     BrokenResponseError,
     ConnectError,
@@ -125,7 +125,7 @@
     async def _exchange(self, attempt: Attempt, in_flight: InFlightAttempt) -> Outcome | None:
         """Send the request and read the response.
 
-        Returns the outcome, or None if the endpoint has accepted the job or the attempt was cancelled.
+        Returns the outcome, or None if the endpoint has accepted the job or the attempt is over.
         """
         try:
             connection = await self._sender.send(attempt, in_flight)
@@ -134,17 +134,14 @@
         except (ConnectError, RequestIncompleteError):
             return Outcome.UNREACHABLE
         try:
-            response = await self._read_response(attempt, connection)
+            with connection.close_on_error():
+                response = await self._read_response(attempt, connection)
+                connection.release()
         except BrokenResponseError as error:
             if attempt.is_over:
-                return None  # this node has closed the connection
+                return None  # ended by a call-back, or cancelled
             self._pool.on_connection_broken(connection)
-            connection.close(CloseReason.BROKEN)
             return self._handle_broken_response(attempt, error)
-        except BaseException:
-            connection.close(CloseReason.ATTEMPT_CANCELLED)
-            raise
-        connection.release()
         if response.status != HTTPStatus.ACCEPTED:
             return classify_failure(response)
         attempt.record_accepted(self._clock())
--- a/burlmoor/upstream/connection.py
+++ b/burlmoor/upstream/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Protocol
 
 from burlmoor.types.reasons import CloseReason
@@ -9,6 +10,8 @@
 from burlmoor.upstream.http import HttpClientConnection, Response
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from burlmoor.transport.stream import SocketStream
 
 
@@ -79,15 +82,23 @@
             RequestIncompleteError: the connection broke before the last byte of the request was written.
             BrokenResponseError: no complete, valid response arrived.
         """
-        try:
+        with self.close_on_error():
             await self.write(method, path, [], b"")
             return await self.read()
-        except (RequestIncompleteError, BrokenResponseError):
-            self.close(CloseReason.BROKEN)
-            raise
-        except BaseException:
-            # This reason also counts the cancelled calls of health checks and of discovery.
-            self.close(CloseReason.ATTEMPT_CANCELLED)
+
+    @contextmanager
+    def close_on_error(self) -> Iterator[None]:
+        """Close the connection if the enclosed exchange raises, also if it is cancelled.
+
+        Every user of a connection encloses its exchange in this, so that no exchange that has failed leaves
+        its connection open and counted.
+        """
+        try:
+            yield
+        except BaseException as error:
+            is_broken = isinstance(error, (RequestIncompleteError, BrokenResponseError))
+            # ATTEMPT_CANCELLED also counts the cancelled calls of health checks and of discovery.
+            self.close(CloseReason.BROKEN if is_broken else CloseReason.ATTEMPT_CANCELLED)
             raise
 
     def release(self) -> None:
--- a/burlmoor/upstream/request_sender.py
+++ b/burlmoor/upstream/request_sender.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Protocol
 
 from burlmoor.invariants import Invariant
-from burlmoor.types.reasons import CloseReason
 from burlmoor.upstream.errors import RequestIncompleteError
 from burlmoor.upstream.send_precondition import check_send_precondition, recheck_send_precondition
 
@@ -72,20 +71,17 @@
             open_connection = self._pool.connect if must_connect else self._pool.acquire
             connection = await open_connection(endpoint.address)
             try:
-                # The job and the endpoint list may have changed during the connect. Nothing suspends between
-                # this check and the first byte.
-                recheck_send_precondition(attempt, self._directory, endpoint)
-                await self._write(attempt, endpoint, connection, in_flight)
+                with connection.close_on_error():
+                    # The job and the endpoint list may have changed during the connect. Nothing suspends
+                    # between this check and the first byte.
+                    recheck_send_precondition(attempt, self._directory, endpoint)
+                    await self._write(attempt, endpoint, connection, in_flight)
             except RequestIncompleteError:
-                connection.close(CloseReason.BROKEN)
                 if must_connect or not connection.is_reused:
                     raise
                 # The pooled connection was stale. The request has not run, so a new connection may carry it.
                 must_connect = True
                 continue
-            except BaseException:
-                connection.close(CloseReason.ATTEMPT_CANCELLED)
-                raise
             return connection
 
     async def _write(
--- /dev/null
+++ b/tests/integration/test_lost_acceptances.py
@@ -0,0 +1,54 @@
+"""Connections of attempts whose outcome a call-back reports although their 202 never arrives."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.support.node_harness import open_node_harness
+
+if TYPE_CHECKING:
+    from tests.support.node_harness import NodeHarness
+
+INVALID_RESPONSE = b"HTTP/1.1 no status\r\n\r\n"
+
+
+async def submit_job_without_response(harness: NodeHarness, job_class: str, request_id: str) -> None:
+    """Submit a job whose executor reports its result by a call-back, but does not answer the attempt."""
+    client = await harness.submit_job(job_class, request_id)
+    await harness.wait_until(lambda: harness.find_attempts(request_id))
+    assert await harness.send_callback("done", "fine") == 204
+    assert (await harness.read_response(client)).status == 200
+
+
+# Guards against connections that stay counted as open for good, until the node rejects every job.
+@pytest.mark.parametrize(
+    ("job_class", "response"),
+    [("lookup", None), ("keyed", None), ("lookup", b""), ("once", b""), ("once", INVALID_RESPONSE)],
+    ids=["silent", "silent with key", "closed", "closed, non-idempotent", "invalid, non-idempotent"],
+)
+async def test_a_connection_that_breaks_after_the_call_back_is_closed(
+    job_class: str, response: bytes | None
+) -> None:
+    async with open_node_harness("hang") as harness:
+        await submit_job_without_response(harness, job_class, "a1")
+        stream = harness.executor_connections[-1].socket_stream
+        if response is not None:
+            await (stream.send_all(response) if response else stream.aclose())
+        await harness.wait_until(lambda: not harness.components.attempts.in_flight)
+        assert harness.components.pool.open_count == 0
+
+
+async def test_jobs_are_served_after_more_lost_responses_than_the_node_may_have_connections() -> None:
+    max_connections = 9  # to executors, with 64 descriptors
+    script = ["hang"] * (max_connections + 1)
+    async with open_node_harness(*script, sockets=64) as harness:
+        assert harness.components.pool.max_connections == max_connections
+        for number in range(max_connections + 1):
+            await submit_job_without_response(harness, "lookup", f"a{number}")
+            await harness.wait_until(lambda: not harness.components.attempts.in_flight)
+        client = await harness.submit_job("lookup", "last")
+        await harness.wait_until(lambda: harness.find_attempts("last"))
+        await harness.send_callback("done", "fine")
+        assert (await harness.read_response(client)).status == 200
