End the wait for an attempt's response 50 ms after a call-back has ended it

Cause: nothing told the sender that a call-back had ended its attempt. The response of a non-idempotent job is awaited without a time limit, since the end of the attempt was thought to end the wait. If its 202 was lost, its task and its connection stayed for good. An idempotent job held its connection until 0.45 s after its request.

Change: Attempt.end notifies the sender, whatever ended the attempt, and the sender waits for 50 ms more. A 202 that follows its call-back closely still leaves the connection reusable.

Test, which failed before in all 12 cases (three kinds of idempotency, four outcomes): test_a_call_back_ends_the_wait_for_the_response.

test_an_attempt_that_stays_at_a_draining_endpoint_is_counted breaks the node to see the violation counted. It broke the cancellation alone; the end of the attempt closes the connection now too, so the test breaks both. It expects the same.

--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -14,6 +14,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burlmoor.engine.answers import FinalAnswer, Responder
     from burlmoor.types.events import JobRequest
     from burlmoor.types.outcome import Outcome
@@ -38,6 +40,7 @@
     cancelled_at: float | None = None
     cancel_reason: CancelReason | None = None
     ended_at: float | None = None
+    _end_listener: Callable[[], None] | None = None
 
     @property
     def has_ended(self) -> bool:
@@ -71,10 +74,16 @@
         if self.started_at is None:
             self.started_at = now
 
+    def notify_on_end(self, listener: Callable[[], None]) -> None:
+        """Have `listener` called when the attempt ends, so that its sender can release what it holds."""
+        self._end_listener = listener
+
     def end(self, outcome: Outcome, now: float) -> None:
-        """Record how and when the attempt ended."""
+        """Record how and when the attempt ended, and notify the listener."""
         self.outcome = outcome
         self.ended_at = now
+        if self._end_listener is not None:
+            self._end_listener()
 
 
 @dataclass(slots=True, eq=False)
--- a/burlmoor/types/reasons.py
+++ b/burlmoor/types/reasons.py
@@ -46,6 +46,6 @@
     IDLE = "idle"  # unused for too long, or one of too many idle ones
     SHUTDOWN = "shutdown"  # idle during a graceful shutdown
     ENDPOINT_CHANGED = "endpoint-changed"  # the endpoint is now another process
-    ATTEMPT_CANCELLED = "attempt-cancelled"  # its attempt was cancelled
+    ATTEMPT_CANCELLED = "attempt-cancelled"  # its attempt was cancelled, or had ended before its response
     BROKEN = "broken"  # an error of the socket, or no valid response
     ERROR = "error"  # an internal error
--- a/burlmoor/upstream/in_flight.py
+++ b/burlmoor/upstream/in_flight.py
@@ -16,6 +16,10 @@
     from burlmoor.upstream.connection import PooledConnection
 
 
+# How long the response may follow the call-back that ended the attempt, so that the connection is reusable.
+_LATE_RESPONSE_GRACE_SECONDS = 0.05
+
+
 @dataclass(slots=True)
 class InFlightAttempt:
     """The sending state of an attempt that waits for its 202; `RequestSender` updates it."""
@@ -30,6 +34,10 @@
             self.connection.close(CloseReason.ATTEMPT_CANCELLED)
         self.scope.cancel()
 
+    def on_attempt_ended(self) -> None:
+        """Limit the wait for the response, which no longer matters: a call-back has reported the outcome."""
+        self.scope.deadline = min(self.scope.deadline, trio.current_time() + _LATE_RESPONSE_GRACE_SECONDS)
+
 
 class InFlightAttempts:
     """Owns the sending state of each attempt that waits for its 202."""
@@ -46,6 +54,7 @@
     def add(self, attempt: Attempt) -> InFlightAttempt:
         """Add an attempt that is about to start."""
         self._by_attempt[attempt] = in_flight = InFlightAttempt()
+        attempt.notify_on_end(in_flight.on_attempt_ended)
         return in_flight
 
     def find(self, attempt: Attempt) -> InFlightAttempt | None:
--- a/tests/integration/test_lost_acceptances.py
+++ b/tests/integration/test_lost_acceptances.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+import trio
 
 from tests.support.node_harness import open_node_harness
 
@@ -52,3 +53,25 @@
         await harness.wait_until(lambda: harness.find_attempts("last"))
         await harness.send_callback("done", "fine")
         assert (await harness.read_response(client)).status == 200
+
+
+# Guards against tasks and connections of non-idempotent jobs that wait for their 202 without end.
+@pytest.mark.parametrize("state", ["done", "failed", "returned", "lost"])
+@pytest.mark.parametrize("job_class", ["lookup", "keyed", "once"])
+async def test_a_call_back_ends_the_wait_for_the_response(job_class: str, state: str) -> None:
+    async with open_node_harness("hang") as harness:
+        harness.open_clients.append(await harness.submit_job(job_class))
+        await harness.wait_until(lambda: harness.jobs)
+        await harness.send_callback(state, job=0)
+        with trio.fail_after(0.3):  # before the time limit of the response
+            await harness.wait_until(lambda: harness.closed_by_node_count)
+
+
+async def test_a_connection_is_reused_if_its_response_follows_the_call_back() -> None:
+    async with open_node_harness("early") as harness:
+        client = await harness.submit_job("once")
+        assert (await harness.read_response(client)).status == 200
+        await harness.wait_until(lambda: not harness.components.attempts.in_flight)
+        await trio.sleep(0.2)
+        assert harness.closed_by_node_count == 0
+        assert harness.components.pool.open_count == 1
--- a/tests/upstream/test_invariants.py
+++ b/tests/upstream/test_invariants.py
@@ -44,6 +44,8 @@
 async def test_an_attempt_that_stays_at_a_draining_endpoint_is_counted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    # The end of the attempt would close its connection too.
+    monkeypatch.setattr(InFlightAttempt, "on_attempt_ended", lambda _: None)
     async with open_node_harness("hang") as harness:
         await harness.wait_ready()
         harness.open_clients.append(await harness.submit_job("once"))
