Withdraw no attempt that a call-back has ended

What operators would see: an attempt-withdrawn line, and before an invariant-violated line for `withdraw`, for an attempt whose result had arrived before its endpoint's drain while its 202 was still awaited: a false alarm.

Cause: AttemptWithdrawal asked whether the attempt is being cancelled, not whether it is over.

--- a/burlmoor/upstream/withdrawal.py
+++ b/burlmoor/upstream/withdrawal.py
@@ -56,7 +56,7 @@
         """Withdraw an attempt unless its endpoint accepts it in time or is live again."""
         await trio.sleep(_WITHDRAW_AFTER_SECONDS)
         in_flight = self._attempts.in_flight.find(attempt)
-        if in_flight is None or attempt.is_cancelling or self._directory.find_live(attempt.endpoint):
+        if in_flight is None or attempt.is_over or self._directory.find_live(attempt.endpoint):
             return
         # A request whose last byte was not written has not run.
         outcome = Outcome.RESET if in_flight.is_written else Outcome.UNREACHABLE
--- a/tests/upstream/test_invariants.py
+++ b/tests/upstream/test_invariants.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+import pytest
 import trio
 
 from burlmoor.transport.stream import SocketStream
@@ -11,9 +10,6 @@
 from burlmoor.upstream.in_flight import InFlightAttempt
 from tests.support.node_harness import open_node_harness
 
-if TYPE_CHECKING:
-    import pytest
-
 
 async def test_send_despite_a_failed_precondition_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     async with open_node_harness() as harness:
@@ -56,3 +52,22 @@
         await trio.sleep(0.5)
         monkeypatch.undo()
         assert harness.components.core.invariants.counts() == {"withdraw": 1}
+
+
+# Guards against false alarms: a job whose result has arrived is no longer at its endpoint.
+@pytest.mark.parametrize("callback_at", [0.0, 0.08], ids=["before the drain", "just before the withdrawal"])
+async def test_an_attempt_that_a_call_back_ended_is_not_withdrawn(callback_at: float) -> None:
+    lines: list[str] = []
+    async with open_node_harness("hang", lines=lines) as harness:
+        await harness.wait_ready()
+        harness.open_clients.append(await harness.submit_job("once"))
+        await harness.wait_until(lambda: harness.jobs)
+        if not callback_at:
+            await harness.send_callback("done")
+        harness.components.endpoint_updater.disable(harness.jobs[0][0])
+        await trio.sleep(callback_at)
+        if callback_at:
+            await harness.send_callback("done")
+        await trio.sleep(0.5 - callback_at)
+        assert harness.components.core.invariants.counts() == {}
+    assert not [line for line in lines if "attempt-withdrawn" in line]
