Count a connection as closed if close(2) reports an error

Cause: SocketStream.close let the error through, so that PooledConnection.close did not lower the count of open connections, although the descriptor was released.

Change: SocketStream.close ignores the error, for connections in either direction. There is nothing to repeat: Linux releases the descriptor before it reports an error.

--- a/burlmoor/transport/stream.py
+++ b/burlmoor/transport/stream.py
@@ -212,4 +212,6 @@
         """Close the socket, and wake the tasks that wait on it."""
         sock = self.detach()
         if sock is not None:
-            sock.close()
+            # An error of close(2) changes nothing: the kernel has released the descriptor.
+            with suppress(OSError):
+                sock.close()
