Time out the attempts of a closed job at its deadline

What callers would see: where settings do not allow cancellation (Limits.Cancel), a client that disconnects before its job's outcome is reported costs a slot of that endpoint until the node restarts, if the outcome never is reported, and the job's id stays in use.

Cause: AttemptController.expire timed out the attempts of open jobs alone. A closed job's attempts were thought to have been cancelled, which settings may not allow.

Change: at a job's deadline all its open attempts time out, whether or not it is closed.

--- a/burlmoor/engine/attempt_controller.py
+++ b/burlmoor/engine/attempt_controller.py
@@ -72,7 +72,7 @@
             self._upstream.cancel_attempt(attempt)
 
     def expire(self, now: float) -> list[Job]:
-        """Time out expired attempts, and all open attempts of expired jobs.
+        """Time out expired attempts, and all open attempts of expired jobs, also if the job is closed.
 
         Returns the expired jobs that still need a final answer.
         """
@@ -80,13 +80,14 @@
         while (item := self._deadlines.pop_expired(now)) is not None:
             if isinstance(item, Attempt):
                 self._time_out(item, now)
-            elif not item.is_closed:
-                # An attempt that is cancelled here may still run, so the job must not be sent again: the
-                # guard refuses attempts of a job whose deadline is not later than now.
-                item.deadline = min(item.deadline, now)
-                for attempt in item.open_attempts():
-                    self._time_out(attempt, now)
+                continue
+            # An attempt that is cancelled here may still run, so the job must not be sent again: the guard
+            # refuses attempts of a job whose deadline is not later than now.
+            item.deadline = min(item.deadline, now)
+            if not item.is_closed:
                 expired_jobs.append(item)
+            for attempt in item.open_attempts():
+                self._time_out(attempt, now)
         return expired_jobs
 
     def _time_out(self, attempt: Attempt, now: float) -> None:
--- a/tests/integration/test_lost_acceptances.py
+++ b/tests/integration/test_lost_acceptances.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from tests.support.configuration import SETTINGS_OBJECT
 from tests.support.node_harness import open_node_harness
 
 if TYPE_CHECKING:
@@ -75,3 +76,23 @@
         await trio.sleep(0.2)
         assert harness.closed_by_node_count == 0
         assert harness.components.pool.open_count == 1
+
+
+# Guards against attempts that stay open for good: nothing reports their outcome, nor may they be cancelled.
+@pytest.mark.parametrize(("response", "connections"), [("hang", 0), ("take", 1)])
+@pytest.mark.parametrize("job_class", ["lookup", "keyed", "once"])
+async def test_an_attempt_ends_at_its_deadline_after_its_client_has_disconnected(
+    job_class: str, response: str, connections: int
+) -> None:
+    limits = {**SETTINGS_OBJECT["Limits"], "Cancel": False}
+    async with open_node_harness(response, given_settings={**SETTINGS_OBJECT, "Limits": limits}) as harness:
+        core = harness.components.core
+        client = await harness.submit_job(job_class, timeout_ms=1000)
+        await harness.wait_until(lambda: harness.jobs)
+        await client.socket_stream.aclose()
+        await harness.wait_until(lambda: not core.jobs.count_open())
+        await trio.sleep(1.2)
+        assert core.jobs.ids() == []
+        assert not harness.components.attempts.in_flight
+        assert harness.components.pool.open_count == connections
+        assert core.dispatcher._load.slots_in_flight == 0.0
