Log how many connections to executors are open and idle, and their limit

Need: a node that took 134 lost connections for open rejected every job, and no line of its log said so: `counts` told closed connections by reason, and the attempts ended as unreachable, as if the endpoints were. Whether connections are open or only counted could not be told apart from the log.

Change: the event `counts` has a new field, endpoint-connections. A listener of an attempt's end is no argument of its constructor any more.

Test: test_the_log_tells_how_many_connections_are_open_and_idle.

--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -40,7 +40,7 @@
     cancelled_at: float | None = None
     cancel_reason: CancelReason | None = None
     ended_at: float | None = None
-    _end_listener: Callable[[], None] | None = None
+    _end_listener: Callable[[], None] | None = field(default=None, init=False)
 
     @property
     def has_ended(self) -> bool:
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -14,7 +14,7 @@
 from burlmoor.lifecycle.node_builder import build_components, state_files
 from burlmoor.lifecycle.reload import ConfigReloader
 from burlmoor.lifecycle.stall_monitor import StallMonitor
-from burlmoor.log_events import Counts
+from burlmoor.log_events import Counts, EndpointConnections
 from burlmoor.transport.sockets import start_listening
 
 if TYPE_CHECKING:
@@ -110,7 +110,11 @@
         while True:
             await trio.sleep(_COUNTS_INTERVAL_SECONDS)
             if counts := self.components.core.counters.take_increments():
-                self._log(Counts.from_groups(counts))
+                pool = self.components.pool
+                connections = EndpointConnections(
+                    open=pool.open_count, idle=pool.idle_count, limit=pool.max_connections
+                )
+                self._log(Counts.from_groups(counts, connections))
 
     async def handle_signals(self, signals: AsyncIterator[int]) -> None:
         """Reload the configuration on SIGHUP; shut down gracefully on SIGTERM and SIGINT."""
--- a/burlmoor/log_events.py
+++ b/burlmoor/log_events.py
@@ -67,9 +67,18 @@
     counts: dict[str, dict[str, int]]  # all counts of this process, by group and reason
 
 
+class EndpointConnections(msgspec.Struct, frozen=True, kw_only=True):
+    """How many connections to endpoints a node has at the time of a `counts` event."""
+
+    open: int  # idle or in use; no attempt can be sent while they are at the limit and none is idle
+    idle: int
+    limit: int
+
+
 class Counts(LogEvent, tag="counts", frozen=True, kw_only=True):
     """The counts since the last line of this event, by group and reason."""
 
+    endpoint_connections: EndpointConnections = msgspec.field(name="endpoint-connections")
     jobs: dict[str, int] | UnsetType = UNSET
     retries: dict[str, int] | UnsetType = UNSET
     cancels: dict[str, int] | UnsetType = UNSET
@@ -77,9 +86,12 @@
     endpoint_closes: dict[str, int] | UnsetType = msgspec.field(name="endpoint-closes", default=UNSET)
 
     @classmethod
-    def from_groups(cls, groups: Mapping[str, dict[str, int]]) -> Counts:
+    def from_groups(
+        cls, groups: Mapping[str, dict[str, int]], endpoint_connections: EndpointConnections
+    ) -> Counts:
         """Build the event from the counts of each group, by the group's name in the log."""
-        return cls(**{group.replace("-", "_"): counts for group, counts in groups.items()})
+        fields = {group.replace("-", "_"): counts for group, counts in groups.items()}
+        return cls(endpoint_connections=endpoint_connections, **fields)
 
 
 class LogDropped(LogEvent, tag="log-dropped", frozen=True, kw_only=True):
--- a/burlmoor/upstream/pool.py
+++ b/burlmoor/upstream/pool.py
@@ -65,6 +65,11 @@
         """The maximum number of open connections."""
         return self._max_connections
 
+    @property
+    def idle_count(self) -> int:
+        """The number of open connections that are idle."""
+        return sum(map(len, self._idle.values()))
+
     def set_max_connections(self, max_connections: int) -> None:
         """Change the maximum number of open connections; existing connections stay open."""
         self._max_connections = max_connections
--- a/tests/integration/test_upstream_connections.py
+++ b/tests/integration/test_upstream_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -60,3 +61,18 @@
             await connection.socket_stream.aclose()
         await client.socket_stream.aclose()
         await harness.wait_until(lambda: harness.cancelled_attempts)
+
+
+async def test_the_log_tells_how_many_connections_are_open_and_idle(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("burlmoor.lifecycle.node._COUNTS_INTERVAL_SECONDS", 0.05)
+    lines: list[str] = []
+    async with open_node_harness("take", "hang", sockets=64, lines=lines) as harness:
+        client = await harness.submit_job("once", "a1")
+        await harness.wait_until(partial(is_last_job, harness, "a1"))
+        harness.open_clients.append(await harness.submit_job("once", "a2"))
+        await harness.wait_until(partial(is_last_job, harness, "a2"))
+        await harness.send_callback("done", "fine", job=0)
+        assert (await harness.read_response(client)).status == 200
+        await harness.wait_until(lambda: any('"jobs"' in line for line in lines))
+    counts = next(json.loads(line) for line in lines if '"jobs"' in line)
+    assert counts["endpoint-connections"] == {"open": 2, "idle": 1, "limit": 9}
