Test that 10,000 lost responses leave no connection, descriptor, job or slot behind

Need: the fault grew over the life of a process; the tests so far lose some responses each.

The test plays 10,000 jobs of the three kinds of idempotency over sockets, whose 202 never arrives and whose result a call-back reports. Afterwards no connection counts as open, no attempt is in flight, and jobs, slots and descriptors are back where they were.

--- a/tests/integration/test_lost_acceptances.py
+++ b/tests/integration/test_lost_acceptances.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from functools import partial
+from itertools import count
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
@@ -13,6 +16,9 @@
 if TYPE_CHECKING:
     from tests.support.node_harness import NodeHarness
 
+JOB_CLASSES = ("lookup", "keyed", "once")
+LOST_RESPONSE_COUNT = 10_000
+CLIENT_COUNT = 16
 INVALID_RESPONSE = b"HTTP/1.1 no status\r\n\r\n"
 
 
@@ -96,3 +102,52 @@
         assert not harness.components.attempts.in_flight
         assert harness.components.pool.open_count == connections
         assert core.dispatcher._load.slots_in_flight == 0.0
+
+
+def has_jobs(harness: NodeHarness, job_count: int) -> bool:
+    """Return whether the executors have received this many jobs."""
+    return len(harness.jobs) >= job_count
+
+
+async def report_results(harness: NodeHarness) -> None:
+    """Report the result of each job as soon as an executor has received it, until cancelled."""
+    for number in count():
+        await harness.wait_until(partial(has_jobs, harness, number + 1))
+        harness.nursery.start_soon(harness.send_callback, "done", "fine", number)
+
+
+async def submit_until_responses_are_lost(harness: NodeHarness, client_number: int) -> None:
+    """Submit jobs on one connection, one at a time, until enough of them have reached an executor."""
+    client = await harness.connect_client()
+    for number in count(client_number, CLIENT_COUNT):
+        await harness.send_job(client, JOB_CLASSES[number % len(JOB_CLASSES)], f"a{number}")
+        await harness.read_response(client)
+        if has_jobs(harness, LOST_RESPONSE_COUNT):
+            break
+    await client.socket_stream.aclose()
+
+
+def count_descriptors() -> int:
+    """Return how many descriptors this process has open."""
+    return len(list(Path("/proc/self/fd").iterdir()))
+
+
+# Guards against any remainder of a lost response: a connection, a descriptor, a task, a job or a slot.
+async def test_ten_thousand_lost_responses_leave_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("tests.support.node_harness._MAX_TEST_SECONDS", 300.0)
+    # Each client may have some attempts more than the last one that is waited for.
+    script = ["hang"] * (LOST_RESPONSE_COUNT + 10 * CLIENT_COUNT)
+    async with open_node_harness(*script, sockets=512) as harness:
+        await harness.wait_ready()
+        components = harness.components
+        descriptor_count = count_descriptors()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(report_results, harness)
+            async with trio.open_nursery() as client_nursery:
+                for client_number in range(CLIENT_COUNT):
+                    client_nursery.start_soon(submit_until_responses_are_lost, harness, client_number)
+            nursery.cancel_scope.cancel()
+        await harness.wait_until(lambda: not (components.attempts.in_flight or components.core.jobs.ids()))
+        assert components.pool.open_count == 0
+        assert components.core.dispatcher._load.slots_in_flight == 0.0
+        await harness.wait_until(lambda: count_descriptors() <= descriptor_count)
