Give the test of the mutations latency objectives that outlast a stall

Cause, shown by trials that stop the node's process (SIGSTOP) 0 to 15 ms after the job was sent: stopped for 0.2 s, the job was served in 6 of 6 plays; for 0.4 s it was answered 503 in 4 of 6, for 0.8 s in 4 of 6. Neither a lost job nor a fault of the node: the class is idempotent, and the rejection is allowed.

Change: the test uses the long objectives that test_stalls had for the same reason, now in tests/support/long_objectives.py. It expects the same, and shows the status of both jobs if it fails.

--- a/tests/integration/test_stalls.py
+++ b/tests/integration/test_stalls.py
@@ -10,9 +10,9 @@
 import trio
 
 from burlmoor.testbed.clock import now_ms
-from burlmoor.testbed.job_classes import JOB_CLASSES, platform_settings
 from burlmoor.testbed.local_cluster import new_request
 from tests.support.linked_cluster import SEARCH, open_linked_cluster, send_jobs
+from tests.support.long_objectives import request_classes_with_long_objectives
 from tests.support.polling import poll_until
 
 if TYPE_CHECKING:
@@ -21,8 +21,6 @@
 CLIENTS = 12
 DISCONNECT_AFTER_MS = 50.0
 MAX_CROSSING_MS = 100.0  # longest time between a request and a close that cross each other
-# On a busy machine a node rejects jobs close to their latency objective before it has sent them.
-CLASSES_WITH_LONG_OBJECTIVES = [job_class._replace(latency_objective_ms=5000.0) for job_class in JOB_CLASSES]
 KILL_AFTER_MS = 3700.0  # after SIGTERM, where deadlines are 3 s or more
 
 
@@ -46,7 +44,7 @@
 async def test_no_attempt_begins_for_clients_that_disconnected_during_a_stall(
     tmp_path: Path, stall_seconds: float, do_clients_disconnect: bool
 ) -> None:
-    classes = platform_settings(CLASSES_WITH_LONG_OBJECTIVES)["RequestClasses"]
+    classes = request_classes_with_long_objectives()
     async with open_linked_cluster(tmp_path, RequestClasses=classes) as cluster:
         node = cluster.nodes[0]
         await send_jobs(cluster, SEARCH, "aa", 20)
--- a/tests/testbed/test_mutations.py
+++ b/tests/testbed/test_mutations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import pytest
@@ -11,6 +12,7 @@
 from burlmoor.testbed.local_cluster import executor_specs, local_cluster, new_request
 from burlmoor.testbed.mutations import MUTATIONS, mutated_node_command
 from burlmoor.testbed.mutations.mutation import replace_attributes
+from tests.support.long_objectives import request_classes_with_long_objectives
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -39,7 +41,11 @@
     command = mutated_node_command(name)
     with trio.fail_after(TIMEOUT_SECONDS):
         async with local_cluster(
-            tmp_path, executor_specs(2), options="[waiting]\n", command=command
+            tmp_path,
+            executor_specs(2),
+            options="[waiting]\n",
+            command=command,
+            RequestClasses=request_classes_with_long_objectives(),
         ) as cluster:
             (clients,) = cluster.clients
             dependent = new_request(
@@ -53,7 +59,6 @@
             (node,) = cluster.nodes
             assert node.process is not None
             assert node.process.poll() is None
-    assert parent.is_served
-    assert last.is_served
+    assert (parent.status, last.status) == (HTTPStatus.OK, HTTPStatus.OK)
     assert dependent.answer_count == 1
     assert not [event for event in node.log if event["event"] in FAULT_EVENTS]
