Show that a node loses requests which it has not read when a stall ends

What callers saw: a connection ended with no answer 62, 67 and 165 ms after the request was sent, on nodes that had run for 3.8 to 6 s.

Reproduction on real processes over loopback: SIGSTOP and SIGCONT stall a node while its clients write requests on connections that the node may close: idle ones beyond two fifths of its limit, idle ones during a graceful shutdown, new ones at the limit, and those of requests that have arrived in part.

test_known_red took an async test for a missing one; it finds them now.

--- a/burlmoor/testbed/local_cluster.py
+++ b/burlmoor/testbed/local_cluster.py
@@ -15,7 +15,7 @@
 from burlmoor.testbed.executor_model import ExecutorSpec
 from burlmoor.testbed.job_classes import JobClass, platform_settings
 from burlmoor.testbed.network_link import NetworkLink
-from burlmoor.testbed.node_process import NODE_COMMAND, NodeProcess
+from burlmoor.testbed.node_process import MAX_SOCKETS, NODE_COMMAND, NodeProcess
 from burlmoor.transport.address import parse_address
 
 if TYPE_CHECKING:
@@ -202,15 +202,19 @@
     command: Sequence[str] = NODE_COMMAND,
     start: bool = True,
     has_links: bool = False,
+    sockets: int = MAX_SOCKETS,
     **settings_overrides: object,
 ) -> AsyncIterator[LocalCluster]:
     """Run a cluster until the context ends; if `start` is false, the caller starts it.
 
-    `options` is the text of the nodes' options file; `settings_overrides` override platform settings by name.
+    `options` is the text of the nodes' options file, `sockets` the limit on each node's descriptors;
+    `settings_overrides` override platform settings by name.
     """
     settings = {**platform_settings(nodes=nodes), **settings_overrides}
     processes = [
-        NodeProcess(f"n{number}", folder / f"n{number}", options_text=options, command=command)
+        NodeProcess(
+            f"n{number}", folder / f"n{number}", options_text=options, command=command, sockets=sockets
+        )
         for number in range(nodes)
     ]
     async with trio.open_nursery() as nursery:
--- a/tests/integration/test_stalls.py
+++ b/tests/integration/test_stalls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
@@ -13,10 +12,10 @@
 from burlmoor.testbed.local_cluster import new_request
 from tests.support.linked_cluster import SEARCH, open_linked_cluster, send_jobs
 from tests.support.long_objectives import request_classes_with_long_objectives
-from tests.support.polling import poll_until
+from tests.support.stalled_process import stop_process
 
 if TYPE_CHECKING:
-    from burlmoor.testbed.node_process import NodeProcess
+    from pathlib import Path
 
 CLIENTS = 12
 DISCONNECT_AFTER_MS = 50.0
@@ -24,21 +23,6 @@
 KILL_AFTER_MS = 3700.0  # after SIGTERM, where deadlines are 3 s or more
 
 
-def process_state(pid: int) -> str:
-    """Return the letter with which the kernel denotes the state of a process."""
-    return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
-
-
-async def stop_process(node: NodeProcess) -> None:
-    """Stop the process and wait until it has stopped, because the signal takes effect with a delay."""
-    node.send_signal(signal.SIGSTOP)
-
-    async def is_stopped() -> bool:
-        return process_state(node.pid) == "T"
-
-    await poll_until(is_stopped)
-
-
 @pytest.mark.parametrize("stall_seconds", [0.3, 2.0])
 @pytest.mark.parametrize("do_clients_disconnect", [False, True])
 async def test_no_attempt_begins_for_clients_that_disconnected_during_a_stall(
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -16,6 +16,7 @@
         test_id, separator, cause = line.partition(": ")
         path, _, function = test_id.partition("::")
         tree = ast.parse((ROOT / path).read_text())
-        assert function in {each.name for each in tree.body if isinstance(each, ast.FunctionDef)}
+        functions = [each for each in tree.body if isinstance(each, (ast.FunctionDef, ast.AsyncFunctionDef))]
+        assert function in {each.name for each in functions}
         assert separator
         assert cause
