Close a client's connection at once, so that no request is read after the decision

What callers saw: a connection ended without an answer.

Cause: closing an idle connection cancelled the task that reads it, which closed the socket later. If a request had arrived in the same iteration of the event loop, trio had already woken this task, so that the cancellation did not take effect at this wait: the task read the request, process_input dropped it, and the socket was closed with nothing unread. The client got an ordinary end, which says that its request was read.

Evidence: the test, changed to look at how the connection ends. It found an end before this change (Failed: DID NOT RAISE BrokenResourceError) and finds a reset now. It accepted either before, which is why it did not show the fault; it also checks all that it checked before.

Why it works: the descriptor is closed where the decision is made, without a suspension point in between, so there is nothing left to read from; the kernel answers what arrives with a reset. Closing twice is harmless.

--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -178,7 +178,7 @@
         except Exception as error:  # noqa: BLE001 - the call-back's task ends here
             # An uncaught error would cancel the nursery and stop the node.
             self._socket.on_error(error)
-            self.close_soon(CloseReason.ERROR)
+            self.close(CloseReason.ERROR)
 
     def _write_response(self, response: Response) -> None:
         if response.close_reason is not None:
@@ -194,18 +194,17 @@
         if not self._socket.send(data):
             self._http.stop_reading()
 
-    def close_soon(self, reason: CloseReason) -> None:
-        """Stop reading, and close the connection once pending output is written."""
+    def close(self, reason: CloseReason) -> None:
+        """Close the connection immediately, for this reason, even if a client awaits a response."""
         self._socket.record_close_reason(reason)
-        self._socket.scope.cancel()
-        if self.is_finished and not self.has_unsent_output:
-            self._close_socket()
+        self.close_now()
 
     def close_now(self) -> None:
-        """Close the connection immediately, even if a client awaits a response."""
+        """Close the connection immediately, for the reason recorded before, if any."""
         self._close_socket()
-        if self._job is not None:
-            self._handler.on_client_disconnected(self._job)
+        job, self._job = self._job, None
+        if job is not None:
+            self._handler.on_client_disconnected(job)
 
     def _close_socket(self) -> None:
         self._socket.close(CloseReason.LAST_RESPONSE if self.is_finished else CloseReason.PEER_CLOSED)
--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -108,7 +108,7 @@
         connection = select_for_eviction(self._connections, trio.current_time())
         if connection is None:
             return False
-        connection.close_soon(CloseReason.MADE_ROOM)
+        connection.close(CloseReason.MADE_ROOM)
         self._connections.discard(connection)
         return True
 
@@ -118,14 +118,14 @@
         Unused ones stay open, since a call-back may be about to arrive on them.
         """
         for connection in select_used_idle(self._connections):
-            connection.close_soon(CloseReason.SHUTDOWN)
+            connection.close(CloseReason.SHUTDOWN)
 
     def close_expired(self, now: float) -> None:
         """Close the connections past a time limit, and surplus idle ones."""
         for connection in select_timed_out(self._connections, now):
-            connection.close_soon(CloseReason.TIMED_OUT)
+            connection.close(CloseReason.TIMED_OUT)
         surplus = select_surplus_idle(
             self._connections, self._waiting_client_count, self._max_connections, now
         )
         for connection in surplus:
-            connection.close_soon(CloseReason.IDLE)
+            connection.close(CloseReason.IDLE)
--- a/burlmoor/downstream/eviction.py
+++ b/burlmoor/downstream/eviction.py
@@ -60,8 +60,8 @@
     def last_received_at(self) -> float:
         """When data last arrived."""
 
-    def close_soon(self, reason: CloseReason) -> None:
-        """Stop reading, and close the connection once pending output is written."""
+    def close(self, reason: CloseReason) -> None:
+        """Close the connection immediately."""
 
     def pass_to_successor(self) -> None:
         """Pass the connection to the successor process if there is one and the connection is idle."""
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -13,6 +12,8 @@
 from tests.support.node_harness import NodeHarness, open_node_harness
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burlmoor.testbed.http_stream import HttpMessage, HttpStream
 
 SIGKILL_MARGIN_SECONDS = 0.7
@@ -34,32 +35,34 @@
         return self._admit(*arguments)
 
 
-def close_idle_before_next_read(harness: NodeHarness, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Close idle connections, as the sweep does, just before a task reads its readable socket."""
+def before_next_read(monkeypatch: pytest.MonkeyPatch, action: Callable[[], None]) -> None:
+    """Call `action` once, just before a task reads its readable socket."""
     receive_now = SocketStream.receive_now
 
-    def close_idle_and_receive(stream: SocketStream) -> ReceiveResult:
+    def act_and_receive(stream: SocketStream) -> ReceiveResult:
         monkeypatch.setattr(SocketStream, "receive_now", receive_now)
-        harness.components.server.connections.close_idle()
+        action()
         return receive_now(stream)
 
-    monkeypatch.setattr(SocketStream, "receive_now", close_idle_and_receive)
+    monkeypatch.setattr(SocketStream, "receive_now", act_and_receive)
 
 
-async def test_a_request_that_races_with_an_idle_close_is_not_admitted(
+async def test_a_request_that_races_with_an_idle_close_is_neither_read_nor_admitted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # A request that is read and dropped gets no answer, and bytes that are written after a close are lost.
+    # Guards against reading a request once the close is decided: its client gets an end, which means that the
+    # request was read, in place of a reset, after which it sends it again.
     async with open_node_harness() as harness:
         client = await harness.submit_job("once", "a1")
         await harness.wait_until(lambda: harness.jobs)
         await harness.send_callback("done", "fine")
         assert (await harness.read_response(client)).body == b"fine"
         admitted = AdmissionRecorder(harness, monkeypatch)
-        close_idle_before_next_read(harness, monkeypatch)
+        connections = harness.components.server.connections
+        before_next_read(monkeypatch, connections.close_idle)
         await harness.send_job(client, "once", "a2")
-        with suppress(trio.BrokenResourceError):
-            assert await client.read() is None
+        with pytest.raises(trio.BrokenResourceError):
+            await client.socket_stream.receive_some()
         again = await harness.submit_job("once", "a2")  # as the protocol requires of clients
         await harness.wait_until(lambda: len(harness.jobs) == 2)
         await harness.send_callback("done", "again")
