Read what has arrived on a client's connection before it is closed as idle or late

What callers saw: a connection ended without an answer 62, 67 and 165 ms after its request was sent, although its node was not shutting down, or had begun to 0.1 s before.

Cause: the node decides which connections to close from what it has read. So it was closed over the request: idle ones beyond two fifths of the limit or in a shutdown, new ones past their time limit or to make room, and those of requests whose rest had arrived.

Class: a decision that outlives what it rests on (here, by the time for which the process did not run).

Why it works: each connection that is due reads what has arrived, without a suspension point before the check is made again and the socket is closed. A request that arrives in between is not read, so its client is reset and may send it again.

--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -25,6 +25,10 @@
     from burlmoor.engine.job import Job
 
 
+# More than the largest request takes: 16 KiB are read at a time.
+_MAX_PENDING_READS = 8
+
+
 class DownstreamConnection:
     """Serves one accepted connection, and is the `Responder` of its open job.
 
@@ -194,6 +198,22 @@
         if not self._socket.send(data):
             self._http.stop_reading()
 
+    def read_pending_input(self) -> None:
+        """Handle input that has arrived but was not read yet, up to the end of one request."""
+        try:
+            for _ in range(_MAX_PENDING_READS):
+                if self._stream.is_closed or not (self.is_idle or self.has_partial_request):
+                    return
+                if self._stream.receive_now() is not ReceiveResult.DATA:
+                    return
+                self.process_input()
+        except (OSError, BufferError):
+            self.close(CloseReason.BROKEN)
+        except Exception as error:  # noqa: BLE001
+            # An uncaught error would end the task that decides which connections to close.
+            self._socket.on_error(error)
+            self.close_now()
+
     def close(self, reason: CloseReason) -> None:
         """Close the connection immediately, for this reason, even if a client awaits a response."""
         self._socket.record_close_reason(reason)
--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
 
 from burlmoor.downstream.eviction import (
+    eviction_rank,
+    is_timed_out,
+    is_used_idle,
+    may_be_surplus,
     select_for_eviction,
     select_surplus_idle,
     select_timed_out,
@@ -15,6 +20,8 @@
 from burlmoor.types.reasons import CloseReason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burlmoor.downstream.eviction import TrackedConnection
 
 _EVICTION_RETRY_SECONDS = 0.05  # between attempts to evict while the set is full and no connection ends
@@ -105,12 +112,16 @@
 
         Returns False if none may be closed.
         """
-        connection = select_for_eviction(self._connections, trio.current_time())
-        if connection is None:
-            return False
-        connection.close(CloseReason.MADE_ROOM)
-        self._connections.discard(connection)
-        return True
+        now = trio.current_time()
+
+        def may_evict(connection: TrackedConnection) -> bool:
+            return eviction_rank(connection, now) is not None
+
+        while (connection := select_for_eviction(self._connections, now)) is not None:
+            if _close_if(may_evict, connection, CloseReason.MADE_ROOM):
+                self._connections.discard(connection)
+                return True
+        return False
 
     def close_idle(self) -> None:
         """Close every connection that has been used and is idle.
@@ -118,14 +129,28 @@
         Unused ones stay open, since a call-back may be about to arrive on them.
         """
         for connection in select_used_idle(self._connections):
-            connection.close(CloseReason.SHUTDOWN)
+            _close_if(is_used_idle, connection, CloseReason.SHUTDOWN)
 
     def close_expired(self, now: float) -> None:
         """Close the connections past a time limit, and surplus idle ones."""
         for connection in select_timed_out(self._connections, now):
-            connection.close(CloseReason.TIMED_OUT)
+            _close_if(partial(is_timed_out, now=now), connection, CloseReason.TIMED_OUT)
         surplus = select_surplus_idle(
             self._connections, self._waiting_client_count, self._max_connections, now
         )
         for connection in surplus:
-            connection.close(CloseReason.IDLE)
+            _close_if(partial(may_be_surplus, now=now), connection, CloseReason.IDLE)
+
+
+def _close_if(
+    is_due: Callable[[TrackedConnection], bool], connection: TrackedConnection, reason: CloseReason
+) -> bool:
+    """Close a connection if it is due to be closed once its pending input is handled; return whether it was.
+
+    After a stall, a request may have arrived that the connection's task has not read yet.
+    """
+    connection.read_pending_input()
+    if not is_due(connection):
+        return False
+    connection.close(reason)
+    return True
--- a/burlmoor/downstream/eviction.py
+++ b/burlmoor/downstream/eviction.py
@@ -60,6 +60,9 @@
     def last_received_at(self) -> float:
         """When data last arrived."""
 
+    def read_pending_input(self) -> None:
+        """Handle input that has arrived but was not read yet, up to the end of one request."""
+
     def close(self, reason: CloseReason) -> None:
         """Close the connection immediately."""
 
@@ -87,14 +90,14 @@
     candidates = [
         (rank, connection)
         for connection in connections
-        if (rank := _eviction_rank(connection, now)) is not None
+        if (rank := eviction_rank(connection, now)) is not None
     ]
     if not candidates:
         return None
     return min(candidates, key=lambda candidate: candidate[0])[1]
 
 
-def _eviction_rank(connection: TrackedConnection, now: float) -> EvictionRank | None:
+def eviction_rank(connection: TrackedConnection, now: float) -> EvictionRank | None:
     """Return the rank of a connection, or None while it may not be evicted.
 
     Clients write their first request immediately, and slow clients keep writing, so a connection on which
@@ -116,11 +119,12 @@
 
 def select_timed_out(connections: Iterable[TrackedConnection], now: float) -> list[TrackedConnection]:
     """Return the connections that have exceeded the time limit of their current state."""
-    return [
-        connection
-        for connection in connections
-        if now > connection.state_since + _timeout_seconds(connection)
-    ]
+    return [connection for connection in connections if is_timed_out(connection, now)]
+
+
+def is_timed_out(connection: TrackedConnection, now: float) -> bool:
+    """Return whether a connection has exceeded the time limit of its current state."""
+    return now > connection.state_since + _timeout_seconds(connection)
 
 
 def _timeout_seconds(connection: TrackedConnection) -> float:
@@ -135,7 +139,12 @@
 
 def select_used_idle(connections: Iterable[TrackedConnection]) -> list[TrackedConnection]:
     """Return the connections that have been used and are idle."""
-    return [connection for connection in connections if connection.has_been_used and connection.is_idle]
+    return [connection for connection in connections if is_used_idle(connection)]
+
+
+def is_used_idle(connection: TrackedConnection) -> bool:
+    """Return whether a connection has been used and is idle."""
+    return connection.has_been_used and connection.is_idle
 
 
 def select_surplus_idle(
@@ -154,6 +163,9 @@
     """
     idle = sorted(select_used_idle(connections), key=lambda connection: connection.state_since)
     surplus = max(0, len(idle) + waiting_client_count - int(max_connections * _MAX_IDLE_AND_WAITING_FRACTION))
-    return [
-        connection for connection in idle[:surplus] if now > connection.state_since + _IDLE_EVICTION_SECONDS
-    ]
+    return [connection for connection in idle[:surplus] if may_be_surplus(connection, now)]
+
+
+def may_be_surplus(connection: TrackedConnection, now: float) -> bool:
+    """Return whether a connection is idle, and did not become idle just now."""
+    return is_used_idle(connection) and now > connection.state_since + _IDLE_EVICTION_SECONDS
