Answer what has arrived unread before a node exits

What callers saw: a connection ended without an answer when the node's process ended, although its request had been taken by the node's machine.

Cause: the node exits once no job, answer or partial request is pending, by what it has read. If the process stalled over the end of a graceful shutdown, requests in its sockets and connections in its backlog were closed with the process; how soon after the exit's decision was also left to the interpreter, which kept the socket listening until its own end.

Evidence: SIGTERM to 4 real processes whose deadlines are 0.4 s (they end 0.9 s after it), stopped from 0.3 to 0.95 s; 120 requests on open or new connections meanwhile.

Why it works: before the exit, the backlog is accepted and all sockets are read once more; what arrived is answered (rejected by then). The listening socket and all connections are closed with no suspension point after that. If a handover has taken place, the backlog is the successor's and is left to it.

--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -9,6 +9,7 @@
 
 from burlmoor.downstream.eviction import (
     eviction_rank,
+    is_idle,
     is_timed_out,
     is_used_idle,
     may_be_surplus,
@@ -131,6 +132,22 @@
         for connection in select_used_idle(self._connections):
             _close_if(is_used_idle, connection, CloseReason.SHUTDOWN)
 
+    def read_pending_input(self) -> None:
+        """Handle the input that has arrived on any connection but was not read yet."""
+        for connection in list(self._connections):
+            connection.read_pending_input()
+
+    def close_all_idle(self) -> None:
+        """Close every idle connection, whether or not it has been used, to make room."""
+        for connection in [each for each in self._connections if each.is_idle]:
+            if _close_if(is_idle, connection, CloseReason.SHUTDOWN):
+                self._connections.discard(connection)
+
+    def close_all(self) -> None:
+        """Close all connections immediately."""
+        for connection in list(self._connections):
+            connection.close(CloseReason.SHUTDOWN)
+
     def close_expired(self, now: float) -> None:
         """Close the connections past a time limit, and surplus idle ones."""
         for connection in select_timed_out(self._connections, now):
--- a/burlmoor/downstream/eviction.py
+++ b/burlmoor/downstream/eviction.py
@@ -142,6 +142,11 @@
     return [connection for connection in connections if is_used_idle(connection)]
 
 
+def is_idle(connection: TrackedConnection) -> bool:
+    """Return whether a connection is idle, whether or not it has been used."""
+    return connection.is_idle
+
+
 def is_used_idle(connection: TrackedConnection) -> bool:
     """Return whether a connection has been used and is idle."""
     return connection.has_been_used and connection.is_idle
--- a/burlmoor/downstream/server.py
+++ b/burlmoor/downstream/server.py
@@ -15,7 +15,7 @@
 from burlmoor.downstream.request_handler import RequestHandler
 from burlmoor.log_events import DescriptorsExhausted
 from burlmoor.transport.address import SocketAddress
-from burlmoor.transport.sockets import accept
+from burlmoor.transport.sockets import LISTEN_BACKLOG, accept, accept_now
 from burlmoor.types.settings import Idempotency
 
 if TYPE_CHECKING:
@@ -62,6 +62,7 @@
         self._log = log
         self._counters = counters
         self._drain_observer: DrainObserver | None = None
+        self._is_closed = False
 
     @property
     def address(self) -> SocketAddress:
@@ -74,9 +75,12 @@
         self._drain_observer = observer
 
     async def run(self) -> None:
-        """Accept connections until cancelled."""
-        while True:
-            await trio.lowlevel.wait_readable(self._listener)
+        """Accept connections until cancelled, or until the server is closed."""
+        while not self._is_closed:
+            try:
+                await trio.lowlevel.wait_readable(self._listener)
+            except trio.ClosedResourceError:
+                return
             if self.connections.is_full and not self.connections.evict_one():
                 # New connections wait in the backlog until one ends, to stay within the limit on sockets.
                 await self.connections.wait_for_capacity()
@@ -129,6 +133,30 @@
         finally:
             self.connections.on_connection_ended(connection)
 
+    def accept_pending(self) -> None:
+        """Accept the connections that wait in the backlog, and handle the input that has arrived on them.
+
+        Closes idle connections if the connection limit is reached.
+        """
+        for _ in range(LISTEN_BACKLOG):
+            if self.connections.is_full:
+                self.connections.close_all_idle()
+            if self.connections.is_full:
+                return
+            sock = accept_now(self._listener)
+            if sock is None:
+                return
+            self.serve_connection(sock)
+
+    def close(self) -> None:
+        """Stop listening, and close all connections immediately."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        trio.lowlevel.notify_closing(self._listener)
+        self._listener.close()
+        self.connections.close_all()
+
     async def sweep(self) -> None:
         """Periodically close the connections past a time limit, and idle ones while the node drains."""
         while True:
--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -35,6 +35,7 @@
         self._core = components.core
         self._drain = components.drain
         self._engine = components.engine
+        self._server = components.server
         self._connections = components.server.connections
         self._handover = handover
         self._stall_monitor = stall_monitor
@@ -72,12 +73,21 @@
     async def _finish_work(self) -> None:
         # The node listens until the last job is answered, since call-backs for open jobs still arrive, and
         # waits until slow clients have read their answers completely.
-        while self._has_unfinished_work:
+        while self._has_unfinished_work or self._has_unread_work():
             if not self._handover.has_handed_over:
                 # Closes them without waiting for the server's next sweep. By now, new connections of clients
                 # are directed to other nodes.
                 self._connections.close_idle()
             await trio.sleep(_POLL_INTERVAL_SECONDS)
+        # Nothing may be accepted or read from here on: it would not be answered.
+        self._server.close()
+
+    def _has_unread_work(self) -> bool:
+        """Handle what clients have written but no task has read yet; return whether that leaves work."""
+        if not self._handover.has_handed_over:
+            self._server.accept_pending()
+        self._connections.read_pending_input()
+        return self._has_unfinished_work
 
     @property
     def _has_unfinished_work(self) -> bool:
--- a/burlmoor/transport/sockets.py
+++ b/burlmoor/transport/sockets.py
@@ -17,7 +17,7 @@
 
     from burlmoor.transport.address import SocketAddress
 
-_LISTEN_BACKLOG = 1024
+LISTEN_BACKLOG = 1024
 _ACCEPT_RETRY_SECONDS = 0.05  # after an error of accept
 # Values of `errno` when the process or the system has run out of descriptors, or of memory for them.
 DESCRIPTORS_EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
@@ -57,7 +57,7 @@
     Raises:
         OSError: another socket already listens at its address.
     """
-    sock.listen(_LISTEN_BACKLOG)
+    sock.listen(LISTEN_BACKLOG)
 
 
 def adopt_listening_socket(inherited_fd: int) -> socket.socket:
@@ -90,6 +90,14 @@
         return None
 
 
+def accept_now(sock: socket.socket) -> socket.socket | None:
+    """Accept a pending connection; return None if there is none, or if accepting failed."""
+    try:
+        return sock.accept()[0]
+    except OSError:
+        return None
+
+
 async def connect(address: str, buffer_limit: int) -> SocketStream:
     """Connect to `host:port`; the stream buffers up to `buffer_limit` bytes in each direction.
 
--- a/tests/integration/test_unread_requests.py
+++ b/tests/integration/test_unread_requests.py
@@ -4,13 +4,14 @@
 
 import signal
 from contextlib import AsyncExitStack
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import pytest
 import trio
 
 from burlmoor.testbed.clients import ClientPool
 from burlmoor.testbed.http_stream import HttpStream, connect
+from burlmoor.testbed.job_classes import JOB_CLASSES, platform_settings
 from burlmoor.testbed.local_cluster import LocalCluster, executor_specs, local_cluster, new_request
 from tests.support.linked_cluster import SEARCH
 from tests.support.long_objectives import request_classes_with_long_objectives
@@ -19,8 +20,9 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-# A node with 128 descriptors has at most 45 connections to clients, and closes idle ones beyond 18 of them.
+# A node with 128 descriptors closes idle connections to clients beyond 18 of them.
 DESCRIPTORS = 128
+MAX_CONNECTIONS = 45  # of all clients, with so many descriptors
 CLIENTS = 30  # of each node
 NODES = 4  # a node may read before it closes; which comes first differs from one process to the next
 WORK_MS = 20.0
@@ -32,13 +34,14 @@
 
     write_after_seconds: float
     seconds: float
+    begins_with_sigterm: bool = False
 
 
 # Longer than the interval of the sweep, so that the sweep is due when the process resumes, and longer than
 # the least time before an idle connection may be closed.
 SURPLUS_STALL = Stall(0.3, 0.5)
-# SIGTERM arrives at its start; clients' idle connections are closed from 2 s after SIGTERM on.
-SHUTDOWN_STALL = Stall(1.9, 2.2)
+# 2 s after SIGTERM clients' idle connections are closed.
+SHUTDOWN_STALL = Stall(1.9, 2.2, begins_with_sigterm=True)
 # Incomplete requests are closed 2.6 s after their first byte, or after the accept.
 INCOMPLETE_STALL = Stall(0.5, 3.0)
 
@@ -65,12 +68,11 @@
     return [each.id for each in requests if each.id.startswith(prefix) and each.answered_ms is None]
 
 
-@pytest.mark.parametrize("is_shutting_down", [False, True])
+@pytest.mark.parametrize("stall", [SURPLUS_STALL, SHUTDOWN_STALL])
 async def test_no_request_on_an_idle_connection_is_lost_when_a_stalled_node_resumes(
-    tmp_path: Path, is_shutting_down: bool
+    tmp_path: Path, stall: Stall
 ) -> None:
     # Guards against closing idle connections whose next request has arrived but was not read yet.
-    stall = SHUTDOWN_STALL if is_shutting_down else SURPLUS_STALL
     async with local_cluster(
         tmp_path,
         executor_specs(6),
@@ -83,7 +85,7 @@
         async with trio.open_nursery() as nursery, AsyncExitStack() as stalls:
             for node in cluster.nodes:
                 await stalls.enter_async_context(stalled(node))
-                if is_shutting_down:
+                if stall.begins_with_sigterm:
                     node.send_signal(signal.SIGTERM)
             await trio.sleep(stall.write_after_seconds)
             nursery.start_soon(send_from_all, cluster, clients, "bb")
@@ -113,14 +115,16 @@
     # Guards against closing new connections whose request has arrived but was not read yet.
     async with local_cluster(tmp_path, executor_specs(3), sockets=DESCRIPTORS) as cluster:
         node = cluster.nodes[0]
-        # More than the node may have: the others wait in its backlog, so that it has to make room for them.
-        streams = [await connect(node.address) for _ in range(CLIENTS if has_begun else 2 * CLIENTS)]
+        streams = [await connect(node.address) for _ in range(CLIENTS if has_begun else MAX_CONNECTIONS)]
         if has_begun:
             for number, stream in enumerate(streams):
                 await send_head(stream, f"aa{number:03d}")
         await trio.sleep(0.05)
         async with stalled(node):
             await trio.sleep(INCOMPLETE_STALL.write_after_seconds)
+            if not has_begun:
+                # They wait in the backlog, and the node has to make room for them.
+                streams += [await connect(node.address) for _ in range(CLIENTS)]
             for number, stream in enumerate(streams):
                 if not has_begun:
                     await send_head(stream, f"aa{number:03d}")
@@ -128,3 +132,42 @@
             await trio.sleep(INCOMPLETE_STALL.seconds - INCOMPLETE_STALL.write_after_seconds)
         answered = [await is_answered(stream) for stream in streams]
         assert answered == [True] * len(streams)
+
+
+# Where all deadlines are 0.4 s, a node without a job ends 0.9 s after SIGTERM. Clients open connections for
+# up to 0.4 s after it.
+SHORT_DEADLINE_MS = 400.0
+EXIT_STALL_BEGINS_SECONDS = 0.3  # after SIGTERM
+EXIT_STALL = Stall(0.05, 0.65)
+
+
+def request_classes_with_short_deadlines() -> list[dict[str, Any]]:
+    """Return the setting `RequestClasses` with the testbed's classes and short deadlines."""
+    job_classes = [job_class._replace(timeout_ms=SHORT_DEADLINE_MS) for job_class in JOB_CLASSES]
+    classes: list[dict[str, Any]] = platform_settings(job_classes)["RequestClasses"]
+    return classes
+
+
+@pytest.mark.parametrize("is_accepted", [False, True])
+async def test_no_request_is_lost_when_a_stalled_node_exits(tmp_path: Path, is_accepted: bool) -> None:
+    # Guards against an exit that resets connections, accepted or in the backlog, whose request was not read.
+    async with local_cluster(
+        tmp_path, executor_specs(3), nodes=NODES, RequestClasses=request_classes_with_short_deadlines()
+    ) as cluster:
+        for node in cluster.nodes:
+            node.send_signal(signal.SIGTERM)
+        await trio.sleep(EXIT_STALL_BEGINS_SECONDS)
+        addresses = [node.address for node in cluster.nodes for _ in range(CLIENTS)]
+        streams = [await connect(address) for address in addresses] if is_accepted else []
+        async with AsyncExitStack() as stalls:
+            for node in cluster.nodes:
+                await stalls.enter_async_context(stalled(node))
+            await trio.sleep(EXIT_STALL.write_after_seconds)
+            streams = streams or [await connect(address) for address in addresses]
+            for number, stream in enumerate(streams):
+                await send_head(stream, f"aa{number:03d}")
+                await stream.socket_stream.send_all(BODY)
+            await trio.sleep(EXIT_STALL.seconds - EXIT_STALL.write_after_seconds)
+        answered = [await is_answered(stream) for stream in streams]
+        assert answered == [True] * len(streams)
+        assert [await node.stop() for node in cluster.nodes] == [0] * NODES
