Let the tests of close races act on the client's connection only

test_a_request_that_has_arrived_unread_is_served_on_its_idle_connection failed in 1 of 4 runs of the integration tests (6 at a time): its hook acted at the next read of any socket, such as that of a call-back, so that the idle connection was closed, as it may be, before the client wrote. The hook now waits for the read of the client's own connection; expectations as before.

test_the_list_stays_valid_while_discovery_is_overloaded says why jobs were not served if it fails: it did once, with 28 of 60 served, and not again in 24 trials (8 at a time) and 3 runs of the integration tests, so its cause is not known.

--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -8,6 +8,8 @@
 import pytest
 import trio
 
+from burlmoor.downstream.connection import DownstreamConnection
+from burlmoor.downstream.eviction import is_used_idle
 from burlmoor.transport.stream import ReceiveResult, SocketStream
 from burlmoor.types.reasons import CloseReason
 from tests.support.configuration import SETTINGS_OBJECT
@@ -37,13 +39,28 @@
         return self._admit(*arguments)
 
 
-def before_next_read(monkeypatch: pytest.MonkeyPatch, action: Callable[[], None]) -> None:
-    """Call `action` once, just before a task reads its readable socket."""
+def find_client_connection(harness: NodeHarness) -> DownstreamConnection:
+    """Return the node's side of the only idle connection of a client."""
+    connections = harness.components.server.connections
+    connection, *others = [
+        each for each in connections._connections if is_used_idle(each) and not each.is_finished
+    ]
+    assert not others
+    assert isinstance(connection, DownstreamConnection)
+    return connection
+
+
+def before_next_read(
+    harness: NodeHarness, monkeypatch: pytest.MonkeyPatch, action: Callable[[], None]
+) -> None:
+    """Call `action` once, just before the task of the client's idle connection reads its readable socket."""
     receive_now = SocketStream.receive_now
+    client_stream = find_client_connection(harness)._stream
 
     def act_and_receive(stream: SocketStream) -> ReceiveResult:
-        monkeypatch.setattr(SocketStream, "receive_now", receive_now)
-        action()
+        if stream is client_stream:
+            monkeypatch.setattr(SocketStream, "receive_now", receive_now)
+            action()
         return receive_now(stream)
 
     monkeypatch.setattr(SocketStream, "receive_now", act_and_receive)
@@ -66,7 +83,7 @@
         await harness.send_callback("done", "fine")
         assert (await harness.read_response(client)).body == b"fine"
         admitted = AdmissionRecorder(harness, monkeypatch)
-        before_next_read(monkeypatch, partial(close_all, harness))
+        before_next_read(harness, monkeypatch, partial(close_all, harness))
         await harness.send_job(client, "once", "a2")
         with pytest.raises(trio.BrokenResourceError):
             await client.socket_stream.receive_some()
@@ -87,7 +104,7 @@
         await harness.send_callback("done", "fine")
         assert (await harness.read_response(client)).body == b"fine"
         admitted = AdmissionRecorder(harness, monkeypatch)
-        before_next_read(monkeypatch, harness.components.server.connections.close_idle)
+        before_next_read(harness, monkeypatch, harness.components.server.connections.close_idle)
         await harness.send_job(client, "once", "a2")
         await harness.wait_until(lambda: len(harness.jobs) == 2)
         await harness.send_callback("done", "again")
--- a/tests/integration/test_list_lease.py
+++ b/tests/integration/test_list_lease.py
@@ -17,6 +17,7 @@
     SEARCH,
     announce_departures,
     count_served,
+    describe_unserved,
     late_attempts,
     open_linked_cluster,
     send_jobs,
@@ -126,7 +127,7 @@
         cluster.discovery.is_overloaded = True
         await trio.sleep(9.0)
         await send_jobs(cluster, SEARCH, "bb", 60, 0.03)
-        assert count_served(cluster, "bb") > 50
+        assert count_served(cluster, "bb") > 50, describe_unserved(cluster, "bb")
         assert not [each for each in cluster.nodes[0].log if each["event"] == "endpoint-list-suspended"]
         cluster.discovery.is_overloaded = False
         await trio.sleep(4.5)
--- a/tests/support/linked_cluster.py
+++ b/tests/support/linked_cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -55,3 +56,18 @@
     """Count the served jobs whose ids start with `prefix`."""
     requests = cluster.event_record.requests.values()
     return sum(each.is_served for each in requests if each.id.startswith(prefix))
+
+
+def describe_unserved(cluster: LocalCluster, prefix: str) -> Counter[str]:
+    """Return how often each status and reason ended a job whose id starts with `prefix`, for messages."""
+    reasons = {
+        line["id"]: line["reason"]
+        for node in cluster.nodes
+        for line in node.log
+        if line["event"] == "job-ended"
+    }
+    return Counter(
+        f"{each.status} {reasons.get(each.id)}"
+        for each in cluster.event_record.requests.values()
+        if each.id.startswith(prefix) and not each.is_served
+    )
