Log input that a close discards, stalls of the event loop and prevented closes

The evidence could not say why a connection was closed, whether its request had been read, nor that the process had not run.

- unread-input-discarded: reason, bytes unread and unparsed, id of the last job of the connection and how long it had been in its state.
It is checked wherever a connection is closed with no last response, so it also shows any other path of this class.
- event-loop-stalled: delays of the heartbeat over 0.05 s.
- counts: prevented-closes, by the reason for closing.

--- a/burlmoor/counters.py
+++ b/burlmoor/counters.py
@@ -16,6 +16,8 @@
     RETRIES = "retries"  # attempts after the first, by the outcome of the previous attempt
     CANCELS = "cancels"  # attempts that the node cancelled, by reason
     CLIENT_CLOSES = "client-closes"  # connections of clients and call-backs, by reason
+    # Connections that were due to be closed until input was found on them, by the reason for closing.
+    PREVENTED_CLOSES = "prevented-closes"
     ENDPOINT_CLOSES = "endpoint-closes"  # connections to endpoints, by reason
 
 
--- a/burlmoor/downstream/accepted_socket.py
+++ b/burlmoor/downstream/accepted_socket.py
@@ -7,13 +7,15 @@
 import trio
 
 from burlmoor.counters import CounterGroup
-from burlmoor.log_events import ConnectionFailed
+from burlmoor.log_events import ConnectionFailed, UnreadInputDiscarded
 from burlmoor.transport.stream import SocketStream
 from burlmoor.types.reasons import CloseReason
 
 if TYPE_CHECKING:
     import socket
 
+    from msgspec import UnsetType
+
     from burlmoor.counters import EventCounters
     from burlmoor.log import EventLogger
 
@@ -116,6 +118,26 @@
         with trio.move_on_at(deadline):
             await self.stream.discard_until_end(max_bytes)
 
+    def report_discarded_input(
+        self, default_reason: CloseReason, last_request_id: str | UnsetType, state_seconds: float
+    ) -> None:
+        """Log input that closing the socket now discards, if there is any.
+
+        `last_request_id` is the id of the last job submitted on the connection, `state_seconds` the time
+        since its state last changed.
+        """
+        unread = self.stream.count_unread_bytes()
+        buffered = len(self.stream.inbound)
+        if unread or buffered:
+            event = UnreadInputDiscarded(
+                reason=(self._close_reason or default_reason).value,
+                bytes=unread,
+                buffered=buffered,
+                last_id=last_request_id,
+                seconds=round(state_seconds, 3),
+            )
+            self._log(event)
+
     def close(self, default_reason: CloseReason) -> None:
         """Close the socket, and count the recorded reason, or `default_reason` if there is none."""
         if self.stream.is_closed:
--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -5,16 +5,19 @@
 from typing import TYPE_CHECKING
 
 import trio
+from msgspec import UNSET
 
 from burlmoor.downstream.accepted_socket import LINGER_BYTES
 from burlmoor.downstream.drain import ServiceState
 from burlmoor.downstream.http import HttpServerConnection
-from burlmoor.downstream.requests import JobCallback, ParsedRequest
+from burlmoor.downstream.requests import JobCallback, JobSubmission, ParsedRequest
 from burlmoor.downstream.responses import Response
 from burlmoor.transport.stream import ReceiveResult
 from burlmoor.types.reasons import CloseReason
 
 if TYPE_CHECKING:
+    from msgspec import UnsetType
+
     from burlmoor.downstream.accepted_socket import AcceptedSocket
     from burlmoor.downstream.connection_set import ConnectionSet
     from burlmoor.downstream.drain import DrainController
@@ -60,6 +63,7 @@
         self._nursery = nursery
         self._job: Job | None = None  # the open job that the client waits for
         self._is_processing = False
+        self._last_request_id: str | UnsetType = UNSET
         self.has_been_used = has_been_used
         self.state_since = trio.current_time() if has_been_used else accepted_socket.accepted_at
         self.last_received_at = self.state_since
@@ -159,6 +163,8 @@
         self.pass_to_successor()
 
     def _handle(self, request: ParsedRequest) -> None:
+        if isinstance(request, JobSubmission):
+            self._last_request_id = request.request_id
         result = self._handler.handle(request, self)
         if isinstance(result, Response):
             self._write_response(result)
@@ -227,7 +233,12 @@
             self._handler.on_client_disconnected(job)
 
     def _close_socket(self) -> None:
-        self._socket.close(CloseReason.LAST_RESPONSE if self.is_finished else CloseReason.PEER_CLOSED)
+        if self.is_finished:
+            self._socket.close(CloseReason.LAST_RESPONSE)
+            return
+        state_seconds = trio.current_time() - self.state_since
+        self._socket.report_discarded_input(CloseReason.PEER_CLOSED, self._last_request_id, state_seconds)
+        self._socket.close(CloseReason.PEER_CLOSED)
 
     def pass_to_successor(self) -> None:
         """Pass the connection to the successor process if there is one and the connection is idle."""
--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from burlmoor.counters import CounterGroup
 from burlmoor.downstream.eviction import (
     eviction_rank,
     is_idle,
@@ -23,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burlmoor.counters import EventCounters
     from burlmoor.downstream.eviction import TrackedConnection
 
 _EVICTION_RETRY_SECONDS = 0.05  # between attempts to evict while the set is full and no connection ends
@@ -34,9 +36,10 @@
 class ConnectionSet:
     """Holds the open connections, their limit, and the number of clients that wait for an answer."""
 
-    def __init__(self, max_connections: int) -> None:
+    def __init__(self, max_connections: int, counters: EventCounters) -> None:
         self._connections: set[TrackedConnection] = set()
         self._max_connections = max_connections
+        self._counters = counters
         self._waiting_client_count = 0
         self._connection_ended = trio.Event()
 
@@ -119,7 +122,7 @@
             return eviction_rank(connection, now) is not None
 
         while (connection := select_for_eviction(self._connections, now)) is not None:
-            if _close_if(may_evict, connection, CloseReason.MADE_ROOM):
+            if self._close_if(may_evict, connection, CloseReason.MADE_ROOM):
                 self._connections.discard(connection)
                 return True
         return False
@@ -130,7 +133,7 @@
         Unused ones stay open, since a call-back may be about to arrive on them.
         """
         for connection in select_used_idle(self._connections):
-            _close_if(is_used_idle, connection, CloseReason.SHUTDOWN)
+            self._close_if(is_used_idle, connection, CloseReason.SHUTDOWN)
 
     def read_pending_input(self) -> None:
         """Handle the input that has arrived on any connection but was not read yet."""
@@ -140,9 +143,27 @@
     def close_all_idle(self) -> None:
         """Close every idle connection, whether or not it has been used, to make room."""
         for connection in [each for each in self._connections if each.is_idle]:
-            if _close_if(is_idle, connection, CloseReason.SHUTDOWN):
+            if self._close_if(is_idle, connection, CloseReason.SHUTDOWN):
                 self._connections.discard(connection)
 
+    def _close_if(
+        self,
+        is_due: Callable[[TrackedConnection], bool],
+        connection: TrackedConnection,
+        reason: CloseReason,
+    ) -> bool:
+        """Close a connection if it is due to be closed once its pending input is handled.
+
+        After a stall, a request may have arrived that the connection's task has not read yet. Returns whether
+        the connection was due.
+        """
+        connection.read_pending_input()
+        if not is_due(connection):
+            self._counters.count(CounterGroup.PREVENTED_CLOSES, reason.value)
+            return False
+        connection.close(reason)
+        return True
+
     def close_all(self) -> None:
         """Close all connections immediately."""
         for connection in list(self._connections):
@@ -151,23 +172,9 @@
     def close_expired(self, now: float) -> None:
         """Close the connections past a time limit, and surplus idle ones."""
         for connection in select_timed_out(self._connections, now):
-            _close_if(partial(is_timed_out, now=now), connection, CloseReason.TIMED_OUT)
+            self._close_if(partial(is_timed_out, now=now), connection, CloseReason.TIMED_OUT)
         surplus = select_surplus_idle(
             self._connections, self._waiting_client_count, self._max_connections, now
         )
         for connection in surplus:
-            _close_if(partial(may_be_surplus, now=now), connection, CloseReason.IDLE)
-
-
-def _close_if(
-    is_due: Callable[[TrackedConnection], bool], connection: TrackedConnection, reason: CloseReason
-) -> bool:
-    """Close a connection if it is due to be closed once its pending input is handled; return whether it was.
-
-    After a stall, a request may have arrived that the connection's task has not read yet.
-    """
-    connection.read_pending_input()
-    if not is_due(connection):
-        return False
-    connection.close(reason)
-    return True
+            self._close_if(partial(may_be_surplus, now=now), connection, CloseReason.IDLE)
--- a/burlmoor/downstream/server.py
+++ b/burlmoor/downstream/server.py
@@ -187,7 +187,7 @@
         [each.name for each in classes],
         [each.name for each in classes if each.idempotency is Idempotency.IDEMPOTENT_WITH_KEY],
     )
-    connections = ConnectionSet(max_connections)
+    connections = ConnectionSet(max_connections, core.counters)
     peers = PeerProcesses()
     handler = RequestHandler(engine, core.jobs, core.lifecycle, connections, peers, drain, log)
     return DownstreamServer(
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -51,7 +51,7 @@
             log,
             is_listener_shared=is_listener_shared,
         )
-        self._stall_monitor = StallMonitor()
+        self._stall_monitor = StallMonitor(log)
         self._shutdown = GracefulShutdown(components, self.handover, self._stall_monitor, log)
         self._reloader = ConfigReloader(
             config, components.directory, components.endpoint_updater, components.discovery, log
--- a/burlmoor/lifecycle/stall_monitor.py
+++ b/burlmoor/lifecycle/stall_monitor.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
+from burlmoor.log_events import EventLoopStalled
+
+if TYPE_CHECKING:
+    from burlmoor.log import EventLogger
+
 _HEARTBEAT_INTERVAL_SECONDS = 0.2
 # In addition to the heartbeat interval; a shorter delay may be due to a busy event loop.
 _MIN_STALL_SECONDS = 0.3
+_MIN_LOGGED_DELAY_SECONDS = 0.05  # of a heartbeat
 
 
 class _Stall(NamedTuple):
@@ -19,7 +25,8 @@
 class StallMonitor:
     """Detects stalls by a heartbeat that is overdue. Times are in seconds on trio's clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, log: EventLogger) -> None:
+        self._log = log
         self._last_heartbeat_at = trio.current_time()
         self._last_stall = _Stall(self._last_heartbeat_at, self._last_heartbeat_at)
 
@@ -31,7 +38,10 @@
 
     def _record_heartbeat(self) -> None:
         now = trio.current_time()
-        if now - self._last_heartbeat_at > _HEARTBEAT_INTERVAL_SECONDS + _MIN_STALL_SECONDS:
+        delay_seconds = now - self._last_heartbeat_at - _HEARTBEAT_INTERVAL_SECONDS
+        if delay_seconds > _MIN_LOGGED_DELAY_SECONDS:
+            self._log(EventLoopStalled(seconds=round(delay_seconds, 3)))
+        if delay_seconds > _MIN_STALL_SECONDS:
             self._last_stall = _Stall(self._last_heartbeat_at, now)
         self._last_heartbeat_at = now
 
--- a/burlmoor/log_events.py
+++ b/burlmoor/log_events.py
@@ -83,6 +83,7 @@
     retries: dict[str, int] | UnsetType = UNSET
     cancels: dict[str, int] | UnsetType = UNSET
     client_closes: dict[str, int] | UnsetType = msgspec.field(name="client-closes", default=UNSET)
+    prevented_closes: dict[str, int] | UnsetType = msgspec.field(name="prevented-closes", default=UNSET)
     endpoint_closes: dict[str, int] | UnsetType = msgspec.field(name="endpoint-closes", default=UNSET)
 
     @classmethod
@@ -197,6 +198,22 @@
     error: str
 
 
+class UnreadInputDiscarded(LogEvent, tag="unread-input-discarded", frozen=True, kw_only=True):
+    """A connection of a client or call-back was closed although input had arrived that was not handled."""
+
+    reason: str
+    bytes: int  # that arrived unread; counted up to 16 KiB
+    buffered: int  # bytes that were read but not parsed
+    last_id: str | UnsetType = msgspec.field(name="last-id", default=UNSET)
+    seconds: float  # in the state in which it was closed
+
+
+class EventLoopStalled(LogEvent, tag="event-loop-stalled", frozen=True, kw_only=True):
+    """The process did not run its tasks for some time, because it was paused or busy with one of them."""
+
+    seconds: float
+
+
 class DescriptorsExhausted(LogEvent, tag="descriptors-exhausted", frozen=True, kw_only=True):
     """No file descriptor was available for a new connection."""
 
--- a/burlmoor/transport/stream.py
+++ b/burlmoor/transport/stream.py
@@ -180,6 +180,15 @@
             return False
         return False
 
+    def count_unread_bytes(self) -> int:
+        """Return how many bytes have arrived but were not read, counted up to 16 KiB."""
+        if self._sock is None:
+            return 0
+        try:
+            return len(self._sock.recv(_RECEIVE_BYTES, socket.MSG_PEEK))
+        except OSError:
+            return 0
+
     def shut_down_sending(self) -> None:
         """Shut down the sending side; the peer may still send."""
         if self._sock is not None:
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -77,7 +78,8 @@
 ) -> None:
     # Guards against reading a request once the close is decided: its client gets an end, which means that the
     # request was read, in place of a reset, after which it sends it again.
-    async with open_node_harness() as harness:
+    lines: list[str] = []
+    async with open_node_harness(lines=lines) as harness:
         client = await harness.submit_job("once", "a1")
         await harness.wait_until(lambda: harness.jobs)
         await harness.send_callback("done", "fine")
@@ -92,6 +94,10 @@
         await harness.send_callback("done", "again")
         assert (await harness.read_response(again)).body == b"again"
         assert admitted.request_ids == ["a2"]
+    (discarded,) = [json.loads(line) for line in lines if "unread-input-discarded" in line]
+    assert discarded["reason"] == "shutdown"
+    assert discarded["last-id"] == "a1"
+    assert discarded["bytes"] > 0
 
 
 async def test_a_request_that_has_arrived_unread_is_served_on_its_idle_connection(
@@ -110,6 +116,7 @@
         await harness.send_callback("done", "again")
         assert (await harness.read_response(client)).body == b"again"
         assert admitted.request_ids == ["a2"]
+        assert harness.components.core.counters.totals()["prevented-closes"] == {"shutdown": 1}
 
 
 def settings_with_deadline(deadline_ms: float) -> dict[str, Any]:
--- a/tests/integration/test_unread_requests.py
+++ b/tests/integration/test_unread_requests.py
@@ -91,6 +91,9 @@
             nursery.start_soon(send_from_all, cluster, clients, "bb")
             await trio.sleep(stall.seconds - stall.write_after_seconds)
         assert find_lost(cluster, "bb") == []
+        for node in cluster.nodes:
+            stalls_seconds = [line["seconds"] for line in node.log if line["event"] == "event-loop-stalled"]
+            assert any(seconds > stall.seconds / 2.0 for seconds in stalls_seconds)
 
 
 async def send_head(stream: HttpStream, request_id: str) -> None:
