Serve a connection here if it can't be passed to the successor now

What callers saw: in a handover (hot restart), a client's idle connection ended, also if its next request had arrived unread.

Cause: PredecessorRole.pass_connection closed the socket if the handover channel took no message, because its queue was full or it had just closed.

Evidence: the test, whose client sends a job after the channel refused its connection. It failed before and passes now.

--- a/burlmoor/lifecycle/handover_predecessor.py
+++ b/burlmoor/lifecycle/handover_predecessor.py
@@ -114,10 +114,10 @@
             self._send_counts(channel)
 
     def pass_connection(self, sock: socket.socket, *, has_been_used: bool, age_seconds: float) -> None:
-        """Send an idle connection to the successor."""
+        """Send an idle connection to the successor; continue to serve it here if it can't be sent now."""
         message = PassedConnection(has_been_used, age_seconds)
         if self._channel is None or not self._channel.send(message, sock):
-            sock.close()
+            self._server.serve_connection(sock, has_been_used=has_been_used, age_seconds=age_seconds)
 
     def on_job_admitted(self, request_id: str) -> None:
         """Notify the successor of a job that was admitted here after the handover."""
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -119,6 +119,32 @@
         assert harness.components.core.counters.totals()["prevented-closes"] == {"shutdown": 1}
 
 
+class UnavailableChannel:
+    """A handover channel that can't send anything now."""
+
+    has_unsent_messages = False
+
+    def send(self, message: object, sock: object = None) -> bool:
+        return False
+
+
+async def test_a_connection_that_cannot_be_passed_to_the_successor_is_served_here() -> None:
+    # Guards against closing idle connections, whose clients may be writing, while the channel is full.
+    async with open_node_harness() as harness:
+        client = await harness.submit_job("once", "a1")
+        await harness.wait_until(lambda: harness.jobs)
+        await harness.send_callback("done", "fine")
+        assert (await harness.read_response(client)).body == b"fine"
+        role = harness.node.handover._predecessor_role
+        role.attach_channel(UnavailableChannel())  # type: ignore[arg-type]
+        harness.components.server.peers.attach_successor(role)
+        harness.components.server.connections.pass_idle_to_successor()
+        await harness.send_job(client, "once", "a2")
+        await harness.wait_until(lambda: len(harness.jobs) == 2)
+        await harness.send_callback("done", "again")
+        assert (await harness.read_response(client)).body == b"again"
+
+
 def settings_with_deadline(deadline_ms: float) -> dict[str, Any]:
     """Return the default test settings, with this deadline for all classes."""
     return {
