End before SIGKILL although a client never completes its request

What callers may see: a request lost at SIGKILL, which may have been sent long after SIGTERM.

Cause: a graceful shutdown waited for requests that had arrived in part, up to 2.6 s after their first byte, so beyond SIGKILL wherever deadlines are short. Until then clients could use the node's new connections.

Why it works: a request that is not complete has not been taken, so it is closed unanswered once SIGKILL is 0.2 s away.

--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -96,6 +96,6 @@
             self._core.jobs.count_open()
             or self._attempts.open_cancel_calls
             or self._connections.has_unsent_output
-            or self._connections.has_partial_requests
+            or (self._connections.has_partial_requests and self._drain.awaits_partial_requests)
             or self._handover.has_unsent_messages
         )
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -211,3 +211,19 @@
         assert not harness.components.core.jobs.count_open()
         assert not harness.components.server.connections.has_unsent_output
     assert all(at < killed_after_seconds for client in clients for at in client.late_answers)
+
+
+@pytest.mark.parametrize("deadline_ms", [400.0, 1200.0])
+async def test_a_request_that_is_never_completed_does_not_keep_a_node_from_exiting_before_sigkill(
+    deadline_ms: float,
+) -> None:
+    # Guards against a SIGKILL while clients use the connections of a node that waits for nothing else.
+    killed_after_seconds = deadline_ms / 1000.0 + SIGKILL_MARGIN_SECONDS
+    async with open_node_harness(given_settings=settings_with_deadline(deadline_ms)) as harness:
+        client = await harness.connect_client()
+        began_at = trio.current_time()
+        harness.nursery.start_soon(harness.node.shut_down)
+        await trio.sleep(0.3)
+        await client.socket_stream.send_all(b"POST /once/0f HTTP/1.1\r\nHost: svc\r\n")
+        await harness.wait_until(lambda: harness.has_node_ended)
+        assert trio.current_time() - began_at < killed_after_seconds
