Stop listening before the last read of a shutdown, and never listen during one

What callers saw: requests on connections opened just before a node's exit or SIGKILL got no answer.

Causes, one class (a node takes clients although it is about to end): - At the exit, the listening socket was closed after the last read, so that connections could still come up in between. - SIGTERM during the start did not keep the process from listening once discovery had answered, up to 5 s later. - Unconfirmed cancellations kept a node waiting until SIGKILL, with all its jobs answered.

Why it works: what waits in the backlog is accepted, and the socket closed at once; requests that arrive in the next 50 ms are still answered, then connections are closed. Cancellations are waited for like incomplete requests, until 0.2 s before SIGKILL.

--- a/burlmoor/downstream/drain.py
+++ b/burlmoor/downstream/drain.py
@@ -37,7 +37,7 @@
 _CLOSING_BEFORE_SIGKILL_SECONDS = 1.7
 _REJECTING_AFTER_CLOSING_SECONDS = 0.5
 _ANSWER_MARGIN_SECONDS = 0.4  # from the last answer to SIGKILL
-_EXIT_MARGIN_SECONDS = 0.2  # from the last time at which a partial request keeps a node running to SIGKILL
+_EXIT_MARGIN_SECONDS = 0.2  # from the end of the time for work that need not be finished to SIGKILL
 _MIN_ANSWER_FRACTION = 0.8  # the least fraction of the grace period that is left to answer jobs
 _CLOSING_AFTER_DRAIN_SECONDS = 0.8  # load balancers in front notice a failing readiness check within 0.3 s
 # 4 s after the start of a drain, no open job may be younger than 2 s.
@@ -92,7 +92,7 @@
         self.answer_within_seconds = max(
             grace_period_seconds - _ANSWER_MARGIN_SECONDS, _MIN_ANSWER_FRACTION * grace_period_seconds
         )
-        self._completion_limit_seconds = grace_period_seconds - _EXIT_MARGIN_SECONDS
+        self._optional_work_seconds = grace_period_seconds - _EXIT_MARGIN_SECONDS
         self._shutdown_began_at: float | None = None
         self._drain_began_at: float | None = None
 
@@ -111,14 +111,14 @@
         return self._shutdown_began_at is not None
 
     @property
-    def awaits_partial_requests(self) -> bool:
-        """Whether a shutdown still has time for requests that have arrived in part.
+    def has_time_before_sigkill(self) -> bool:
+        """Whether a shutdown still has time for work that the node need not finish.
 
-        The node has not taken them. Those that it would take just before SIGKILL would be lost.
+        Requests that it would take just before SIGKILL would be lost.
         """
         if self._shutdown_began_at is None:
             return True
-        return trio.current_time() < self._shutdown_began_at + self._completion_limit_seconds
+        return trio.current_time() < self._shutdown_began_at + self._optional_work_seconds
 
     @property
     def is_drain_requested(self) -> bool:
--- a/burlmoor/downstream/server.py
+++ b/burlmoor/downstream/server.py
@@ -62,7 +62,8 @@
         self._log = log
         self._counters = counters
         self._drain_observer: DrainObserver | None = None
-        self._is_closed = False
+        self._is_accepting = False
+        self._is_closed = False  # the listening socket
 
     @property
     def address(self) -> SocketAddress:
@@ -76,18 +77,29 @@
 
     async def run(self) -> None:
         """Accept connections until cancelled, or until the server is closed."""
-        while not self._is_closed:
-            try:
-                await trio.lowlevel.wait_readable(self._listener)
-            except trio.ClosedResourceError:
-                return
-            if self.connections.is_full and not self.connections.evict_one():
-                # New connections wait in the backlog until one ends, to stay within the limit on sockets.
-                await self.connections.wait_for_capacity()
-                continue
-            sock = await accept(self._listener, self._on_descriptors_exhausted)
-            if sock is not None:
-                self.serve_connection(sock)
+        self._is_accepting = True
+        try:
+            while not self._is_closed:
+                await self._accept_next()
+        except trio.ClosedResourceError:
+            return
+        finally:
+            self._is_accepting = False
+
+    async def _accept_next(self) -> None:
+        """Wait for a connection and accept it, once there is room for it.
+
+        Raises:
+            trio.ClosedResourceError: the server stops listening meanwhile.
+        """
+        await trio.lowlevel.wait_readable(self._listener)
+        if self.connections.is_full and not self.connections.evict_one():
+            # New connections wait in the backlog until one ends, to stay within the limit on sockets.
+            await self.connections.wait_for_capacity()
+            return
+        sock = await accept(self._listener, self._on_descriptors_exhausted)
+        if sock is not None:
+            self.serve_connection(sock)
 
     def _on_descriptors_exhausted(self, error: OSError) -> None:
         self._log(DescriptorsExhausted(error=str(error)))
@@ -133,11 +145,18 @@
         finally:
             self.connections.on_connection_ended(connection)
 
-    def accept_pending(self) -> None:
-        """Accept the connections that wait in the backlog, and handle the input that has arrived on them.
+    def stop_listening(self) -> None:
+        """Accept what waits in the backlog, unless another process accepts, and stop listening."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._is_accepting:
+            self._accept_pending()
+        trio.lowlevel.notify_closing(self._listener)
+        self._listener.close()
 
-        Closes idle connections if the connection limit is reached.
-        """
+    def _accept_pending(self) -> None:
+        """Accept the connections that wait in the backlog; close idle ones at the connection limit."""
         for _ in range(LISTEN_BACKLOG):
             if self.connections.is_full:
                 self.connections.close_all_idle()
@@ -150,11 +169,7 @@
 
     def close(self) -> None:
         """Stop listening, and close all connections immediately."""
-        if self._is_closed:
-            return
-        self._is_closed = True
-        trio.lowlevel.notify_closing(self._listener)
-        self._listener.close()
+        self.stop_listening()
         self.connections.close_all()
 
     async def sweep(self) -> None:
--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -18,6 +18,7 @@
 # Counted from SIGTERM; a job that is admitted later may still be open at SIGKILL.
 _LATE_ADMISSION_SECONDS = 0.7
 _POLL_INTERVAL_SECONDS = 0.02
+_LAST_REQUEST_SECONDS = 0.05  # from the end of listening to the exit
 
 
 class GracefulShutdown:
@@ -73,19 +74,23 @@
     async def _finish_work(self) -> None:
         # The node listens until the last job is answered, since call-backs for open jobs still arrive, and
         # waits until slow clients have read their answers completely.
+        await self._wait_for_work()
+        self._server.stop_listening()
+        # Clients whose connections were accepted last may be about to write.
+        await trio.sleep(_LAST_REQUEST_SECONDS)
+        await self._wait_for_work()
+        self._server.close()
+
+    async def _wait_for_work(self) -> None:
         while self._has_unfinished_work or self._has_unread_work():
             if not self._handover.has_handed_over:
                 # Closes them without waiting for the server's next sweep. By now, new connections of clients
                 # are directed to other nodes.
                 self._connections.close_idle()
             await trio.sleep(_POLL_INTERVAL_SECONDS)
-        # Nothing may be accepted or read from here on: it would not be answered.
-        self._server.close()
 
     def _has_unread_work(self) -> bool:
         """Handle what clients have written but no task has read yet; return whether that leaves work."""
-        if not self._handover.has_handed_over:
-            self._server.accept_pending()
         self._connections.read_pending_input()
         return self._has_unfinished_work
 
@@ -94,8 +99,12 @@
         """Whether a job, an answer, a cancellation or a handover message is still pending."""
         return bool(
             self._core.jobs.count_open()
-            or self._attempts.open_cancel_calls
             or self._connections.has_unsent_output
-            or (self._connections.has_partial_requests and self._drain.awaits_partial_requests)
             or self._handover.has_unsent_messages
+            or (self._drain.has_time_before_sigkill and self._has_optional_work)
         )
+
+    @property
+    def _has_optional_work(self) -> bool:
+        """Whether a cancellation, which spares an endpoint work, or an incomplete request is pending."""
+        return bool(self._attempts.open_cancel_calls or self._connections.has_partial_requests)
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -87,6 +87,8 @@
         # Until then new connections are refused, and clients connect to other nodes or to the predecessor.
         with trio.move_on_after(self._first_contact_timeout()):
             await discovery.first_contact.wait()
+        if self.components.drain.is_shutting_down:
+            return
         if self._config.listener_fd is None:
             start_listening(self.components.listener)
         await self.handover.run()
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import socket
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import pytest
 import trio
 
+from burlmoor.discovery.list_lease import FIRST_CONTACT_SECONDS
 from burlmoor.downstream.connection import DownstreamConnection
 from burlmoor.downstream.eviction import is_used_idle
 from burlmoor.transport.stream import ReceiveResult, SocketStream
 from burlmoor.types.reasons import CloseReason
+from burlmoor.upstream.cancellation import AttemptCanceller
 from tests.support.configuration import SETTINGS_OBJECT
 from tests.support.node_harness import NodeHarness, open_node_harness
 
@@ -227,3 +231,29 @@
         await client.socket_stream.send_all(b"POST /once/0f HTTP/1.1\r\nHost: svc\r\n")
         await harness.wait_until(lambda: harness.has_node_ended)
         assert trio.current_time() - began_at < killed_after_seconds
+
+
+async def test_a_node_that_is_stopped_during_its_start_accepts_no_client() -> None:
+    # Guards against listening during a shutdown: clients would be accepted by a process that is about to end.
+    async with open_node_harness() as harness:
+        harness.is_discovery_silent = True
+        harness.nursery.start_soon(harness.node.shut_down)
+        with trio.move_on_after(FIRST_CONTACT_SECONDS + 1.0):
+            while not harness.has_node_ended:
+                with socket.socket() as sock:
+                    assert sock.connect_ex(harness.address) == errno.ECONNREFUSED
+                await trio.sleep(0.05)
+        assert harness.has_node_ended
+
+
+async def test_an_unanswered_cancellation_does_not_keep_a_node_from_exiting_before_sigkill(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a SIGKILL while clients use a node that only waits for an endpoint.
+    deadline_ms = 400.0
+    async with open_node_harness(given_settings=settings_with_deadline(deadline_ms)) as harness:
+        monkeypatch.setattr(AttemptCanceller, "open_calls", 1)
+        began_at = trio.current_time()
+        harness.nursery.start_soon(harness.node.shut_down)
+        await harness.wait_until(lambda: harness.has_node_ended)
+        assert trio.current_time() - began_at < deadline_ms / 1000.0 + SIGKILL_MARGIN_SECONDS
