Look for input once more right before a client's connection is closed

What callers saw: a request on an idle connection of a node that shut down ended 97 ms after it was sent, with unread-input-discarded (189 bytes, shutdown) in the node's log.

Cause: the process was stopped for some 0.1 s between the last read of the connection and its close.

Why it works: the socket is looked at with MSG_PEEK directly before close(2); if bytes are there, they are read and the decision is made again. A stall between these two system calls can still hide a request; no system call closes a TCP connection only if nothing has arrived.

--- a/burlmoor/downstream/accepted_socket.py
+++ b/burlmoor/downstream/accepted_socket.py
@@ -138,6 +138,15 @@
             )
             self._log(event)
 
+    def close_unless_readable(self, reason: CloseReason) -> bool:
+        """Close the socket and count the reason, unless input has arrived; return whether it is closed."""
+        if self.stream.is_closed:
+            return True
+        if not self.stream.close_unless_readable():
+            return False
+        self._counters.count(CounterGroup.CLIENT_CLOSES, (self._close_reason or reason).value)
+        return True
+
     def close(self, default_reason: CloseReason) -> None:
         """Close the socket, and count the recorded reason, or `default_reason` if there is none."""
         if self.stream.is_closed:
--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -220,6 +220,16 @@
             self._socket.on_error(error)
             self.close_now()
 
+    def close_unless_readable(self, reason: CloseReason) -> bool:
+        """Close the connection unless input has arrived that was not read; return whether it is closed.
+
+        No client may await a response.
+        """
+        if self.is_finished:
+            self.close(reason)
+            return True
+        return self._socket.close_unless_readable(reason)
+
     def close(self, reason: CloseReason) -> None:
         """Close the connection immediately, for this reason, even if a client awaits a response."""
         self._socket.record_close_reason(reason)
--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -27,6 +27,7 @@
     from burlmoor.counters import EventCounters
     from burlmoor.downstream.eviction import TrackedConnection
 
+_MAX_READS_BEFORE_CLOSE = 3  # of a connection whose client keeps sending
 _EVICTION_RETRY_SECONDS = 0.05  # between attempts to evict while the set is full and no connection ends
 # One in 8 connections, and at least 4, are reserved for call-backs: waiting clients may not use them.
 _CONNECTIONS_PER_RESERVED = 8
@@ -157,13 +158,25 @@
         After a stall, a request may have arrived that the connection's task has not read yet. Returns whether
         the connection was due.
         """
-        connection.read_pending_input()
-        if not is_due(connection):
-            self._counters.count(CounterGroup.PREVENTED_CLOSES, reason.value)
-            return False
+        for _ in range(_MAX_READS_BEFORE_CLOSE):
+            connection.read_pending_input()
+            if not is_due(connection):
+                self._counters.count(CounterGroup.PREVENTED_CLOSES, reason.value)
+                return False
+            # The process may stall at any point, so input may have arrived since.
+            if connection.close_unless_readable(reason):
+                return True
         connection.close(reason)
         return True
 
+    def close_all_unless_readable(self) -> bool:
+        """Close all connections on which no input has arrived; return whether that were all.
+
+        No client may await a response.
+        """
+        are_closed = [each.close_unless_readable(CloseReason.SHUTDOWN) for each in self._connections]
+        return all(are_closed)
+
     def close_all(self) -> None:
         """Close all connections immediately."""
         for connection in list(self._connections):
--- a/burlmoor/downstream/eviction.py
+++ b/burlmoor/downstream/eviction.py
@@ -63,6 +63,12 @@
     def read_pending_input(self) -> None:
         """Handle input that has arrived but was not read yet, up to the end of one request."""
 
+    def close_unless_readable(self, reason: CloseReason) -> bool:
+        """Close the connection unless input has arrived that was not read; return whether it is closed.
+
+        No client may await a response.
+        """
+
     def close(self, reason: CloseReason) -> None:
         """Close the connection immediately."""
 
--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -79,6 +79,9 @@
         # Clients whose connections were accepted last may be about to write.
         await trio.sleep(_LAST_REQUEST_SECONDS)
         await self._wait_for_work()
+        while not self._connections.close_all_unless_readable() and self._drain.has_time_before_sigkill:
+            await trio.sleep(_POLL_INTERVAL_SECONDS)
+            await self._wait_for_work()
         self._server.close()
 
     async def _wait_for_work(self) -> None:
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -123,6 +123,33 @@
         assert harness.components.core.counters.totals()["prevented-closes"] == {"shutdown": 1}
 
 
+async def test_a_request_that_arrives_between_the_last_read_and_the_close_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against losing requests that arrive while the process is stalled right before it closes a socket.
+    async with open_node_harness() as harness:
+        client = await harness.submit_job("once", "a1")
+        await harness.wait_until(lambda: harness.jobs)
+        await harness.send_callback("done", "fine")
+        assert (await harness.read_response(client)).body == b"fine"
+        connections = harness.components.server.connections
+        receive_now = SocketStream.receive_now
+
+        def read_nothing_once(stream: SocketStream) -> ReceiveResult:
+            monkeypatch.setattr(SocketStream, "receive_now", receive_now)
+            return ReceiveResult.NOTHING
+
+        def stall_while_closing() -> None:
+            monkeypatch.setattr(SocketStream, "receive_now", read_nothing_once)
+            connections.close_idle()
+
+        before_next_read(harness, monkeypatch, stall_while_closing)
+        await harness.send_job(client, "once", "a2")
+        await harness.wait_until(lambda: len(harness.jobs) == 2)
+        await harness.send_callback("done", "again")
+        assert (await harness.read_response(client)).body == b"again"
+
+
 class UnavailableChannel:
     """A handover channel that can't send anything now."""
 
