Let the soak use a crowd of clients and short stalls, and excuse less

The soak's nodes have few connections, and its audit excused every request at a node that had been stopped, and every one that ended within 250 ms at a node that shut down.

- Fault clients: 80 clients of one node, in a process of their own, use their connections until these are closed; stalls: the node is stopped for up to 0.15 s again and again, which excuses nothing; it is restarted every 7 s, with SIGKILL at the earliest, and flooded in half of the runs.
- A node that runs again has to answer what arrived: only requests whose client gave up, or whose node was killed while stopped, are excused.
- A request may cross the end of its connection within 50 ms, by which the protocol's limits are longer on sockets, and must have ended.

--- a/burlmoor/testbed/fleet/audit_answers.py
+++ b/burlmoor/testbed/fleet/audit_answers.py
@@ -15,7 +15,9 @@
     from burlmoor.testbed.event_record import RequestRecord
     from burlmoor.testbed.fleet.record import RunRecord
 
-READ_ALLOWANCE_MS = 250.0  # how long a node on a loaded machine may take to read a request
+# How long after a request was sent its connection may end since the two crossed each other. The protocol's
+# time limits are longer by as much on real sockets.
+CROSSING_ALLOWANCE_MS = 50.0
 LATE_ANSWER_ALLOWANCE_MS = 500.0  # how late after the timeout an answer may arrive on a loaded machine
 RESUME_ALLOWANCE_MS = 1000.0  # how long a resumed node may take to read its pending input
 # A request that is sent later than this after SIGTERM must be answered before SIGKILL.
@@ -34,6 +36,7 @@
         self._killed = NodeFaultHistory(record, FaultKind.NODE_KILL)
         self._paused = NodeFaultHistory(record, FaultKind.NODE_PAUSE)
         self._flooded = NodeFaultHistory(record, FaultKind.CONNECTION_FLOOD)
+        self._crowded = NodeFaultHistory(record, FaultKind.CLIENT_CROWD)
         self._done_ids = {attempt.id for attempt in record.attempts if attempt.outcome is AttemptOutcome.DONE}
         self._received_ids = {attempt.id for attempt in record.attempts}
 
@@ -74,22 +77,33 @@
         deadline_ms = sent_ms + request.timeout_ms
         if self._killed.overlaps(node, sent_ms, deadline_ms):
             return Excuse.NODE_KILLED
-        if self._paused.overlaps(node, sent_ms, deadline_ms):
+        if self._was_paused(request):
             return Excuse.NODE_PAUSED
         if request.id in self._received_ids:
             return self._excuse_of_kill_in_restart(request)
         is_shutting_down = any(
             faults.overlaps(node, sent_ms, sent_ms) for faults in (self._terminated, self._restarted)
         )
-        if is_shutting_down and _may_be_unread(request):
+        if is_shutting_down and _may_have_crossed(request):
             # The request was written to an idle connection just as the terminating node closed it.
             return Excuse.NODE_SHUTTING_DOWN
-        # A node makes room by closing a new connection, or an idle one just as a request is written to it.
-        may_make_room = request.was_reused is False or _may_be_unread(request)
-        if may_make_room and self._flooded.overlaps(node, sent_ms, deadline_ms):
+        # A node makes room by closing a connection just as a request is written to it.
+        is_crowded = any(
+            faults.overlaps(node, sent_ms, deadline_ms) for faults in (self._flooded, self._crowded)
+        )
+        if is_crowded and _may_have_crossed(request):
             return Excuse.CONNECTION_FLOOD
         return self._excuse_of_kill_in_restart(request)
 
+    def _was_paused(self, request: RequestRecord) -> bool:
+        """Whether the node was paused until the client gave up, or was killed while it was paused.
+
+        A node that resumes has to answer what arrived meanwhile.
+        """
+        if request.closed_ms is not UNSET:
+            return self._paused.overlaps(request.node, request.closed_ms, request.closed_ms)
+        return self._paused.overlaps(request.node, request.sent_ms, request.sent_ms + request.timeout_ms)
+
     def _excuse_of_kill_in_restart(self, request: RequestRecord) -> Excuse | None:
         """Return the excuse for a job that was open at SIGKILL and was sent before or soon after SIGTERM."""
         node, sent_ms = request.node, request.sent_ms
@@ -101,9 +115,9 @@
         return None if must_be_answered else Excuse.NODE_KILLED_IN_RESTART
 
 
-def _may_be_unread(request: RequestRecord) -> bool:
-    """Whether the connection ended so soon that the node may have closed it before it read the request."""
-    return request.closed_ms is UNSET or request.closed_ms < request.sent_ms + READ_ALLOWANCE_MS
+def _may_have_crossed(request: RequestRecord) -> bool:
+    """Whether the connection ended so soon that the node may have closed it before the request arrived."""
+    return request.closed_ms is not UNSET and request.closed_ms < request.sent_ms + CROSSING_ALLOWANCE_MS
 
 
 def _result_owner(request: RequestRecord) -> str:
--- a/burlmoor/testbed/fleet/audit_attempts.py
+++ b/burlmoor/testbed/fleet/audit_attempts.py
@@ -76,8 +76,8 @@
 def check_simultaneous_attempts(record: RunRecord, result: AuditResult) -> None:
     """Check that no more attempts of a job are open at once than the settings allow.
 
-    An attempt is over once its executor has ended it or received its cancellation. If the schedule reset the
-    connection of an attempt, the attempt is over for its node, though the executor may still run it.
+    An attempt is over once its executor has ended it, received its cancellation or died. If the schedule
+    reset the connection of an attempt, it is over for its node, though the executor may still run it.
     """
     max_simultaneous = 2 if record.plan.may_hedge else 1
     for attempt, open_attempts in find_simultaneous(record.attempts, max_simultaneous):
@@ -86,6 +86,12 @@
         ):
             result.excuse(Excuse.LINK_RESET)
             continue
+        if (
+            sum(not _has_died(record, each, attempt.received_ms) for each in open_attempts)
+            <= max_simultaneous
+        ):
+            result.excuse(Excuse.EXECUTOR_KILLED)
+            continue
         listed = ", ".join(
             f"{each.executor} from {each.received_ms - record.start_ms:.0f} ms" for each in open_attempts
         )
@@ -94,6 +100,20 @@
         )
 
 
+def _has_died(record: RunRecord, attempt: AttemptRecord, until_ms: float) -> bool:
+    """Return whether the attempt's executor was killed between its arrival and `until_ms`.
+
+    A killed executor that hung records no end of its attempts.
+    """
+    return any(
+        interval.kind is FaultKind.EXECUTOR_KILL
+        and interval.subject == attempt.executor
+        and attempt.received_ms <= interval.end_ms
+        and interval.start_ms <= until_ms
+        for interval in record.fault_intervals
+    )
+
+
 def _may_be_reset(record: RunRecord, attempt: AttemptRecord, until_ms: float) -> bool:
     """Return whether the schedule may have reset an attempt's connection from arrival to `until_ms`."""
     schedule = record.plan.schedule
--- a/burlmoor/testbed/fleet/audit_result.py
+++ b/burlmoor/testbed/fleet/audit_result.py
@@ -28,6 +28,7 @@
     NODE_SHUTTING_DOWN = "never taken by a node that stopped"
     CONNECTION_FLOOD = "its connection was closed unread in a crowd"
     ANSWERED_LATE = "answered late by a stopped node"
+    EXECUTOR_KILLED = "its executor was killed"
     LINK_RESET = "a troubled link reset an attempt"
     LINK_SLOW = "a troubled link held it back"
 
--- a/burlmoor/testbed/fleet/fault_injection.py
+++ b/burlmoor/testbed/fleet/fault_injection.py
@@ -17,6 +17,8 @@
 from burlmoor.testbed.fleet.record import LINKS_SUBJECT, FaultInterval, RunRecord
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from burlmoor.testbed.discovery import DiscoveryService
     from burlmoor.testbed.fleet.addresses import Ports
     from burlmoor.testbed.fleet.faults import Fault
@@ -34,10 +36,11 @@
         helpers: HelperProcesses,
         discovery: DiscoveryService,
         ports: Ports,
+        folder: Path,
     ) -> None:
         self._record = record
         self._helpers = helpers
-        self._node_faults = NodeFaultInjector(record, nodes, ports)
+        self._node_faults = NodeFaultInjector(record, nodes, ports, folder)
         self._executor_faults = ExecutorFaultInjector(record, helpers, discovery)
         self._discovery_faults = DiscoveryFaultInjector(record, nodes.names, discovery)
 
--- a/burlmoor/testbed/fleet/fault_kinds.py
+++ b/burlmoor/testbed/fleet/fault_kinds.py
@@ -27,6 +27,10 @@
     NODE_RESTART = "restart"  # SIGTERM, `magnitude` more signals, then SIGKILL as early as the platform may
     NODE_RELOAD = "reload"  # SIGHUP, `magnitude` times in a row
     CONNECTION_FLOOD = "crowd"  # `magnitude` idle clients
+    # `magnitude` clients that each send a job on their open connection from time to time.
+    CLIENT_CROWD = "clients"
+    # Stopped again and again, for `magnitude` ms at most; excuses nothing.
+    NODE_STALLS = "stalls"
     # Executors.
     EXECUTOR_KILL = "die"
     EXECUTOR_DRAIN = "drain"
@@ -65,6 +69,8 @@
     FaultKind.NODE_RESTART,
     FaultKind.NODE_RELOAD,
     FaultKind.CONNECTION_FLOOD,
+    FaultKind.CLIENT_CROWD,
+    FaultKind.NODE_STALLS,
 )
 EXECUTOR_FAULTS = (
     FaultKind.EXECUTOR_KILL,
--- a/burlmoor/testbed/fleet/node_faults.py
+++ b/burlmoor/testbed/fleet/node_faults.py
@@ -6,10 +6,15 @@
 import signal
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from burlmoor.testbed.clock import now_ms
+from burlmoor.testbed.event_record import RequestRecord
+from burlmoor.testbed.fleet import client_crowd
 from burlmoor.testbed.fleet.addresses import Ports, node_address
+from burlmoor.testbed.fleet.child_process import ChildProcess, ProcessError
+from burlmoor.testbed.fleet.client_crowd import ClientCrowdConfig
 from burlmoor.testbed.fleet.connection_flood import ConnectionFlood
 from burlmoor.testbed.fleet.fault_kinds import FaultKind, UnsupportedFaultError
 from burlmoor.testbed.fleet.fault_timing import begin_interval, sleep_until
@@ -17,6 +22,8 @@
 from burlmoor.testbed.job_classes import JOB_CLASSES
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from burlmoor.testbed.fleet.faults import Fault
     from burlmoor.testbed.fleet.record import FaultInterval, RunRecord
 
@@ -24,6 +31,11 @@
 _MAX_COUNTED_DEADLINE_SECONDS = 3.0
 _KILL_MARGIN_SECONDS = 0.7
 _RELOAD_PAUSE_SECONDS = 0.15  # between consecutive reloads
+_CROWD_FINISH_TIMEOUT_SECONDS = 15.0  # for its last answers
+_MIN_STALL_MS = 40.0
+# Between two stalls of a node.
+_MIN_STALL_GAP_SECONDS = 0.1
+_MAX_STALL_GAP_SECONDS = 0.6
 _FURTHER_SIGNALS = (signal.SIGTERM, signal.SIGHUP)  # sent to a node while it shuts down
 
 
@@ -36,11 +48,14 @@
 class NodeFaultInjector:
     """Injects faults, each into one node; does not own the processes."""
 
-    def __init__(self, record: RunRecord, nodes: NodeProcesses, ports: Ports) -> None:
+    def __init__(self, record: RunRecord, nodes: NodeProcesses, ports: Ports, folder: Path) -> None:
         self._record = record
         self._nodes = nodes
         self._ports = ports
+        self._folder = folder
         self._rng = random.Random(record.plan.seed)
+        self._stall_rng = random.Random(f"{record.plan.seed}:stalls")
+        self._paused: set[int] = set()
 
     async def inject(self, fault: Fault, number: int) -> None:
         """Wait until the fault starts, and inject it into a node.
@@ -58,6 +73,10 @@
                 await self._reload(fault, number)
             case FaultKind.CONNECTION_FLOOD:
                 await self._flood(fault, number)
+            case FaultKind.CLIENT_CROWD:
+                await self._crowd(fault, number)
+            case FaultKind.NODE_STALLS:
+                await self._stall_repeatedly(fault, number)
             case FaultKind.NODE_KILL | FaultKind.NODE_TERMINATION:
                 await self._end(fault, number)
             case _:
@@ -68,9 +87,11 @@
 
     async def _pause(self, fault: Fault, number: int) -> None:
         interval = self._begin(fault, number)
+        self._paused.add(number)
         process = self._nodes.pause(number)
         await sleep_until(self._record, fault.end)
         self._nodes.resume(process)
+        self._paused.discard(number)
         interval.end_ms = now_ms()
 
     async def _end(self, fault: Fault, number: int) -> None:
@@ -124,3 +145,44 @@
         flood = ConnectionFlood((node_address(number), self._ports.node_http), int(fault.magnitude))
         await flood.run(fault.duration)
         interval.end_ms = now_ms()
+
+    async def _crowd(self, fault: Fault, number: int) -> None:
+        """Let a crowd of clients use a node, and add its requests to the record.
+
+        Raises:
+            ProcessError: the process of the clients ended, or did not finish in time.
+        """
+        interval = self._begin(fault, number)
+        output = self._folder / f"crowd-{number}.json"
+        config = ClientCrowdConfig(
+            address=(node_address(number), self._ports.node_http),
+            node=number,
+            clients=int(fault.magnitude),
+            seconds=fault.duration,
+            seed=self._record.plan.seed,
+            output_path=str(output),
+        )
+        process = ChildProcess(["-m", client_crowd.__name__], self._folder / "crowd.log", has_pipes=True)
+        try:
+            process.send_line(config)
+            if not await process.wait_for_line(fault.duration + _CROWD_FINISH_TIMEOUT_SECONDS):
+                reason = f"did not finish (exit status {process.exit_status})"
+                raise ProcessError(client_crowd.__name__, reason)
+        finally:
+            await process.kill()
+        self._record.requests += msgspec.json.decode(output.read_bytes(), type=list[RequestRecord])
+        interval.end_ms = now_ms()
+
+    async def _stall_repeatedly(self, fault: Fault, number: int) -> None:
+        """Stop a node for short times; one that is paused already is left alone."""
+        interval = self._begin(fault, number)
+        end_ms = now_ms() + fault.duration * 1000.0
+        while now_ms() < end_ms:
+            await trio.sleep(self._stall_rng.uniform(_MIN_STALL_GAP_SECONDS, _MAX_STALL_GAP_SECONDS))
+            if number in self._paused:
+                continue
+            process = self._nodes.pause(number)
+            await trio.sleep(self._stall_rng.uniform(_MIN_STALL_MS, fault.magnitude) / 1000.0)
+            if number not in self._paused:
+                self._nodes.resume(process)
+        interval.end_ms = now_ms()
--- a/burlmoor/testbed/fleet/random_schedule.py
+++ b/burlmoor/testbed/fleet/random_schedule.py
@@ -39,6 +39,9 @@
 _SLOW_LINK_PROBABILITY = 0.5  # for each run
 _FLOOD_PROBABILITY = 0.35  # for each run
 _FLOOD_CONNECTIONS = 300.0
+_CROWD_CLIENTS = 80.0  # more than the node keeps idle connections for
+_MAX_STALL_MS = 150.0  # for which a node may be held up between two steps, by the rules
+_CROWD_FLOOD_PROBABILITY = 0.5  # for each run
 
 
 class _Parameters(TypedDict, total=False):
@@ -113,7 +116,9 @@
     schedule = draw_overlapping_schedule(seed, seconds)
     generator = _FaultSeriesGenerator(random.Random(f"{seed}:series"), _faulted_seconds(seconds))
     series = (*generator.draw_restarts(), generator.draw_reloads(), *generator.draw_slow_links())
-    return FaultSchedule(seed, (*schedule.faults, *series, *generator.draw_connection_floods()))
+    floods = generator.draw_connection_floods()
+    crowds = _CrowdGenerator(random.Random(f"{seed}:crowds"), _faulted_seconds(seconds)).draw()
+    return FaultSchedule(seed, (*schedule.faults, *series, *floods, *crowds))
 
 
 def _faulted_seconds(seconds: float) -> float:
@@ -185,6 +190,39 @@
         return [_round_times(flood)]
 
 
+class _CrowdGenerator:
+    """Draws a crowd of clients of one node, which is stalled for short times and restarted meanwhile."""
+
+    def __init__(self, rng: random.Random, end: float) -> None:
+        self._rng = rng
+        self._end = end
+
+    def draw(self) -> list[Fault]:
+        """Draw the faults; in some runs, the node's descriptors are taken up as well."""
+        node = node_name(self._rng.randrange(_MIN_SOAK_NODES))
+        draw = partial(self._draw, nodes=node)
+        faults = [
+            draw(FaultKind.CLIENT_CROWD, 0.0, self._end, magnitude=_CROWD_CLIENTS),
+            draw(FaultKind.NODE_STALLS, 0.0, self._end, magnitude=_MAX_STALL_MS),
+        ]
+        at = self._rng.uniform(1.0, _RESTART_CYCLE_SECONDS)
+        while at < self._end:
+            signals = float(self._rng.randint(0, _MAX_FURTHER_SIGNALS))
+            faults.append(draw(FaultKind.NODE_RESTART, at, self._rng.uniform(0.1, 1.0), magnitude=signals))
+            at += _RESTART_CYCLE_SECONDS
+        if self._rng.random() < _CROWD_FLOOD_PROBABILITY:
+            faults.append(
+                draw(FaultKind.CONNECTION_FLOOD, 1.0, 0.6 * self._end, magnitude=_FLOOD_CONNECTIONS)
+            )
+        return faults
+
+    @staticmethod
+    def _draw(kind: FaultKind, start: float, duration: float, *, nodes: str, magnitude: float) -> Fault:
+        return _round_times(
+            Fault(kind=kind, start=start, duration=duration, nodes=nodes, magnitude=magnitude)
+        )
+
+
 class _FaultGenerator:
     """Draws faults that begin and end within the first `end` seconds."""
 
--- a/burlmoor/testbed/fleet/run.py
+++ b/burlmoor/testbed/fleet/run.py
@@ -90,7 +90,7 @@
                 self.record, ports, self._folder, cores.nodes, discovery, configurations
             ) as nodes:
                 await self._start_nodes(nodes)
-                injector = FaultInjector(self.record, nodes, helpers, discovery, ports)
+                injector = FaultInjector(self.record, nodes, helpers, discovery, ports, self._folder)
                 await self._run_load(injector, helpers, counts)
                 await self._collect_observations(nodes, helpers, discovery)
             nursery.cancel_scope.cancel()
--- a/burlmoor/testbed/mutations/attempts.py
+++ b/burlmoor/testbed/mutations/attempts.py
@@ -1,4 +1,4 @@
-"""Mutations of the cancellation of attempts, and the set of mutations for the soak drill."""
+"""Mutations of attempts and of clients' connections, and the set of mutations for the soak drill."""
 
 from __future__ import annotations
 
@@ -10,7 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from burlmoor.downstream.connection import DownstreamConnection
     from burlmoor.engine.job import Attempt
+    from burlmoor.types.reasons import CloseReason
     from burlmoor.upstream.attempts import AttemptRunner
 
 
@@ -32,6 +34,18 @@
     replace_attributes(AttemptRunner, cancel_attempt=cancel_and_end)
 
 
+def _close_over_unread_input() -> None:
+    from burlmoor.downstream.connection import DownstreamConnection  # noqa: PLC0415
+
+    def close(self: DownstreamConnection, reason: CloseReason) -> bool:
+        self.close(reason)
+        return True
+
+    replace_attributes(
+        DownstreamConnection, read_pending_input=lambda _self: None, close_unless_readable=close
+    )
+
+
 SOAK_MUTATIONS: Mapping[str, Mutation] = mutations_by_name(
     Mutation(
         "keep-sent",
@@ -45,4 +59,9 @@
         "A cancelled attempt ends before its endpoint has confirmed the cancellation.",
         _end_cancelled_attempts_at_once,
     ),
+    Mutation(
+        "close-unread",
+        "Clients' connections are closed although a request may have arrived on them.",
+        _close_over_unread_input,
+    ),
 )
--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -44,6 +44,23 @@
         return self._admit(*arguments)
 
 
+async def open_idle_client(harness: NodeHarness) -> HttpStream:
+    """Return a client's connection that is idle after its first job, `a1`, was served."""
+    client = await harness.submit_job("once", "a1")
+    await harness.wait_until(lambda: harness.jobs)
+    await harness.send_callback("done", "fine")
+    assert (await harness.read_response(client)).body == b"fine"
+    return client
+
+
+async def assert_served_again(harness: NodeHarness, client: HttpStream) -> None:
+    """Check that a second job, `a2`, is served on the same connection."""
+    await harness.send_job(client, "once", "a2")
+    await harness.wait_until(lambda: len(harness.jobs) == 2)
+    await harness.send_callback("done", "again")
+    assert (await harness.read_response(client)).body == b"again"
+
+
 def find_client_connection(harness: NodeHarness) -> DownstreamConnection:
     """Return the node's side of the only idle connection of a client."""
     connections = harness.components.server.connections
@@ -84,10 +101,7 @@
     # request was read, in place of a reset, after which it sends it again.
     lines: list[str] = []
     async with open_node_harness(lines=lines) as harness:
-        client = await harness.submit_job("once", "a1")
-        await harness.wait_until(lambda: harness.jobs)
-        await harness.send_callback("done", "fine")
-        assert (await harness.read_response(client)).body == b"fine"
+        client = await open_idle_client(harness)
         admitted = AdmissionRecorder(harness, monkeypatch)
         before_next_read(harness, monkeypatch, partial(close_all, harness))
         await harness.send_job(client, "once", "a2")
@@ -109,16 +123,10 @@
 ) -> None:
     # Guards against closing an idle connection over a request that the kernel already has.
     async with open_node_harness() as harness:
-        client = await harness.submit_job("once", "a1")
-        await harness.wait_until(lambda: harness.jobs)
-        await harness.send_callback("done", "fine")
-        assert (await harness.read_response(client)).body == b"fine"
+        client = await open_idle_client(harness)
         admitted = AdmissionRecorder(harness, monkeypatch)
         before_next_read(harness, monkeypatch, harness.components.server.connections.close_idle)
-        await harness.send_job(client, "once", "a2")
-        await harness.wait_until(lambda: len(harness.jobs) == 2)
-        await harness.send_callback("done", "again")
-        assert (await harness.read_response(client)).body == b"again"
+        await assert_served_again(harness, client)
         assert admitted.request_ids == ["a2"]
         assert harness.components.core.counters.totals()["prevented-closes"] == {"shutdown": 1}
 
@@ -128,10 +136,7 @@
 ) -> None:
     # Guards against losing requests that arrive while the process is stalled right before it closes a socket.
     async with open_node_harness() as harness:
-        client = await harness.submit_job("once", "a1")
-        await harness.wait_until(lambda: harness.jobs)
-        await harness.send_callback("done", "fine")
-        assert (await harness.read_response(client)).body == b"fine"
+        client = await open_idle_client(harness)
         connections = harness.components.server.connections
         receive_now = SocketStream.receive_now
 
@@ -144,10 +149,7 @@
             connections.close_idle()
 
         before_next_read(harness, monkeypatch, stall_while_closing)
-        await harness.send_job(client, "once", "a2")
-        await harness.wait_until(lambda: len(harness.jobs) == 2)
-        await harness.send_callback("done", "again")
-        assert (await harness.read_response(client)).body == b"again"
+        await assert_served_again(harness, client)
 
 
 class UnavailableChannel:
@@ -162,18 +164,12 @@
 async def test_a_connection_that_cannot_be_passed_to_the_successor_is_served_here() -> None:
     # Guards against closing idle connections, whose clients may be writing, while the channel is full.
     async with open_node_harness() as harness:
-        client = await harness.submit_job("once", "a1")
-        await harness.wait_until(lambda: harness.jobs)
-        await harness.send_callback("done", "fine")
-        assert (await harness.read_response(client)).body == b"fine"
+        client = await open_idle_client(harness)
         role = harness.node.handover._predecessor_role
         role.attach_channel(UnavailableChannel())  # type: ignore[arg-type]
         harness.components.server.peers.attach_successor(role)
         harness.components.server.connections.pass_idle_to_successor()
-        await harness.send_job(client, "once", "a2")
-        await harness.wait_until(lambda: len(harness.jobs) == 2)
-        await harness.send_callback("done", "again")
-        assert (await harness.read_response(client)).body == b"again"
+        await assert_served_again(harness, client)
 
 
 def settings_with_deadline(deadline_ms: float) -> dict[str, Any]:
--- a/tests/integration/test_unread_requests.py
+++ b/tests/integration/test_unread_requests.py
@@ -68,7 +68,7 @@
     return [each.id for each in requests if each.id.startswith(prefix) and each.answered_ms is None]
 
 
-@pytest.mark.parametrize("stall", [SURPLUS_STALL, SHUTDOWN_STALL])
+@pytest.mark.parametrize("stall", [SURPLUS_STALL, SHUTDOWN_STALL], ids=["surplus", "shutdown"])
 async def test_no_request_on_an_idle_connection_is_lost_when_a_stalled_node_resumes(
     tmp_path: Path, stall: Stall
 ) -> None:
--- a/tests/testbed/fleet/test_audit.py
+++ b/tests/testbed/fleet/test_audit.py
@@ -75,18 +75,47 @@
     record.requests[5].closed_ms = record.requests[5].sent_ms + 300.0
 
 
+def lose_unread_in_connection_flood(record: RunRecord) -> None:
+    """Lose a job on a connection that did not cross its close; the node was stalled."""
+    lose_in_connection_flood(record)
+    record.requests[5].closed_ms = record.requests[5].sent_ms + 62.0
+
+
+def lose_when_resumed(record: RunRecord) -> None:
+    """Lose a job because its node closes the connection when it resumes."""
+    leave_unanswered(record)
+    del record.attempts[5]
+    request = record.requests[5]
+    request.closed_ms = request.sent_ms + 500.0
+    record.fault_intervals = [
+        FaultInterval(FaultKind.NODE_PAUSE, "n000", request.sent_ms - 10.0, request.sent_ms + 490.0)
+    ]
+
+
 def lose_in_connection_flood(record: RunRecord) -> None:
-    """Lose a job because its node, out of descriptors, closes the connection unread."""
+    """Lose a job because its node, out of descriptors, closes the connection just as the job is sent."""
     leave_unanswered(record)
     del record.attempts[5]
     sent_ms = record.requests[5].sent_ms
     record.requests[5].status = 0
     record.requests[5].was_reused = False
+    record.requests[5].closed_ms = sent_ms + 10.0
     record.fault_intervals = [
         FaultInterval(FaultKind.CONNECTION_FLOOD, "n000", sent_ms - 10.0, sent_ms + 10.0)
     ]
 
 
+def open_two_attempts_at_killed_executor(record: RunRecord) -> None:
+    """Retry a job after its first executor hung and was killed."""
+    open_two_attempts(record)
+    first, second = record.attempts[5], record.attempts[6]
+    record.fault_intervals = [
+        FaultInterval(
+            FaultKind.EXECUTOR_KILL, first.executor, first.received_ms + 1.0, second.received_ms + 50.0
+        )
+    ]
+
+
 def run_unknown_job(record: RunRecord) -> None:
     record.attempts[5].id = "x"
 
@@ -118,6 +147,8 @@
         (open_two_attempts, "2 attempts out at once, 1 allowed"),
         (lose_late_in_restart, "no answer"),
         (lose_on_reused_connection_in_flood, "no answer"),
+        (lose_unread_in_connection_flood, "no answer"),
+        (lose_when_resumed, "no answer"),
         (run_unknown_job, "no client sent"),
         (send_to_draining_executor, "was notified that s-1 drains"),
         (flood_executor_in_slow_start, "of its budget"),
@@ -158,3 +189,11 @@
     assert result.excused == {excuse: 1}
     record.requests[5].node = 1
     assert audit(record).violations
+
+
+def test_an_attempt_at_a_killed_executor_is_over() -> None:
+    record = make_even_run()
+    open_two_attempts_at_killed_executor(record)
+    result = audit(record)
+    assert not [violation for violation in result.violations if "attempts out at once" in violation]
+    assert result.excused[Excuse.EXECUTOR_KILLED] == 1
--- a/tests/testbed/fleet/test_fault_injection.py
+++ b/tests/testbed/fleet/test_fault_injection.py
@@ -34,7 +34,7 @@
     configurations = NodeConfigurations(record, ports, [], [])
     nodes = NodeProcesses(record, ports, tmp_path, frozenset(), discovery, configurations)
     for injector in (
-        NodeFaultInjector(record, nodes, ports),
+        NodeFaultInjector(record, nodes, ports, tmp_path),
         ExecutorFaultInjector(record, helpers, discovery),
         DiscoveryFaultInjector(record, nodes.names, discovery),
     ):
