--- a/burlmoor/testbed/fleet/audit_result.py
+++ b/burlmoor/testbed/fleet/audit_result.py
@@ -25,6 +25,7 @@
     NODE_KILLED = "its node was killed"
     NODE_PAUSED = "its node was stopped"
     NODE_KILLED_IN_RESTART = "its node was killed at the end of a restart"
+    CONNECTED_LATE = "its client connected too late to a node that stopped"
     NODE_SHUTTING_DOWN = "never taken by a node that stopped"
     CONNECTION_FLOOD = "its connection was closed unread in a crowd"
     ANSWERED_LATE = "answered late by a stopped node"
--- a/tests/testbed/fleet/test_audit.py
+++ b/tests/testbed/fleet/test_audit.py
@@ -116,6 +116,32 @@
     ]
 
 
+def lose_at_shutdown(record: RunRecord, *, was_reused: bool, sent_after_term_ms: float) -> None:
+    """Lose a job that a node in a shutdown has not read."""
+    leave_unanswered(record)
+    del record.attempts[5]
+    request = record.requests[5]
+    request.status = 0
+    request.was_reused = was_reused
+    request.closed_ms = request.sent_ms + 60.0
+    term_ms = request.sent_ms - sent_after_term_ms
+    record.fault_intervals = [
+        FaultInterval(FaultKind.NODE_RESTART, "n000", term_ms, request.sent_ms + 1000.0)
+    ]
+
+
+def lose_on_reused_connection_in_shutdown(record: RunRecord) -> None:
+    lose_at_shutdown(record, was_reused=True, sent_after_term_ms=410.0)
+
+
+def lose_on_early_connection_in_shutdown(record: RunRecord) -> None:
+    lose_at_shutdown(record, was_reused=False, sent_after_term_ms=390.0)
+
+
+def lose_on_late_connection_in_shutdown(record: RunRecord) -> None:
+    lose_at_shutdown(record, was_reused=False, sent_after_term_ms=410.0)
+
+
 def run_unknown_job(record: RunRecord) -> None:
     record.attempts[5].id = "x"
 
@@ -149,6 +175,8 @@
         (lose_on_reused_connection_in_flood, "no answer"),
         (lose_unread_in_connection_flood, "no answer"),
         (lose_when_resumed, "no answer"),
+        (lose_on_reused_connection_in_shutdown, "no answer"),
+        (lose_on_early_connection_in_shutdown, "no answer"),
         (run_unknown_job, "no client sent"),
         (send_to_draining_executor, "was notified that s-1 drains"),
         (flood_executor_in_slow_start, "of its budget"),
@@ -177,6 +205,7 @@
         (kill_node, Excuse.NODE_KILLED),
         (lose_early_in_restart, Excuse.NODE_KILLED_IN_RESTART),
         (lose_in_connection_flood, Excuse.CONNECTION_FLOOD),
+        (lose_on_late_connection_in_shutdown, Excuse.CONNECTED_LATE),
     ],
 )
 def test_only_deviations_caused_by_the_schedule_are_excused(
