Check for unread input in one place, and set descriptors by extra_config

SocketStream.close_unless_readable looked at the socket as count_unread_bytes does, and AcceptedSocket closed and counted a second time; it calls count_unread_bytes and its own close now, which closes before it counts. NodeProcess(sockets=) wrote what its extra_config already sets; local_cluster passes extra_config in its place.

--- a/burlmoor/downstream/accepted_socket.py
+++ b/burlmoor/downstream/accepted_socket.py
@@ -140,17 +140,16 @@
 
     def close_unless_readable(self, reason: CloseReason) -> bool:
         """Close the socket and count the reason, unless input has arrived; return whether it is closed."""
-        if self.stream.is_closed:
-            return True
-        if not self.stream.close_unless_readable():
+        # Nothing may be added between this check and close(2): a request that arrives there is discarded.
+        if self.stream.count_unread_bytes():
             return False
-        self._counters.count(CounterGroup.CLIENT_CLOSES, (self._close_reason or reason).value)
+        self.close(reason)
         return True
 
     def close(self, default_reason: CloseReason) -> None:
         """Close the socket, and count the recorded reason, or `default_reason` if there is none."""
         if self.stream.is_closed:
             return  # already closed, or passed to another process
+        self.stream.close()
         reason = self._close_reason or default_reason
         self._counters.count(CounterGroup.CLIENT_CLOSES, reason.value)
-        self.stream.close()
--- a/burlmoor/testbed/local_cluster.py
+++ b/burlmoor/testbed/local_cluster.py
@@ -15,7 +15,7 @@
 from burlmoor.testbed.executor_model import ExecutorSpec
 from burlmoor.testbed.job_classes import JobClass, platform_settings
 from burlmoor.testbed.network_link import NetworkLink
-from burlmoor.testbed.node_process import MAX_SOCKETS, NODE_COMMAND, NodeProcess
+from burlmoor.testbed.node_process import NODE_COMMAND, NodeProcess
 from burlmoor.transport.address import parse_address
 
 if TYPE_CHECKING:
@@ -202,18 +202,22 @@
     command: Sequence[str] = NODE_COMMAND,
     start: bool = True,
     has_links: bool = False,
-    sockets: int = MAX_SOCKETS,
+    extra_config: Mapping[str, object] | None = None,
     **settings_overrides: object,
 ) -> AsyncIterator[LocalCluster]:
     """Run a cluster until the context ends; if `start` is false, the caller starts it.
 
-    `options` is the text of the nodes' options file, `sockets` the limit on each node's descriptors;
+    `options` is the text of the nodes' options file, `extra_config` further fields of their configuration;
     `settings_overrides` override platform settings by name.
     """
     settings = {**platform_settings(nodes=nodes), **settings_overrides}
     processes = [
         NodeProcess(
-            f"n{number}", folder / f"n{number}", options_text=options, command=command, sockets=sockets
+            f"n{number}",
+            folder / f"n{number}",
+            options_text=options,
+            command=command,
+            extra_config=extra_config,
         )
         for number in range(nodes)
     ]
--- a/burlmoor/testbed/node_process.py
+++ b/burlmoor/testbed/node_process.py
@@ -27,7 +27,7 @@
 _STOP_TIMEOUT_SECONDS = 12.0
 _RESPONSE_TIMEOUT_SECONDS = 5.0
 _RANDOM_SEED = "5eed"
-MAX_SOCKETS = 4096  # the default limit on a node's descriptors
+_MAX_SOCKETS = 4096
 _CONFIG_VARIABLE_PREFIXES = ("RELAY_", "BURLMOOR_")
 
 
@@ -53,8 +53,7 @@
 class NodeProcess:
     """A node's process with its files and its log; the folder is created if it is missing.
 
-    `options_text` is the text of the options file; without it the node has no such file. `sockets` is the
-    limit on the node's descriptors.
+    `options_text` is the text of the options file; without it the node has no such file.
     """
 
     def __init__(
@@ -65,7 +64,6 @@
         options_text: str | None = None,
         command: Sequence[str] = NODE_COMMAND,
         extra_config: Mapping[str, object] | None = None,
-        sockets: int = MAX_SOCKETS,
     ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.name = name
@@ -78,7 +76,6 @@
         self._options_text = options_text
         self._extra_config = extra_config or {}  # further fields of the configuration
         self._folder = folder
-        self._sockets = sockets
 
     async def start(
         self,
@@ -116,7 +113,7 @@
             "seed": _RANDOM_SEED,
             "settings": settings,
             "known": cached_list,
-            "limits": {"sockets": self._sockets},
+            "limits": {"sockets": _MAX_SOCKETS},
             **self._extra_config,
         }
         self._config_path.write_text(json.dumps(config))
--- a/burlmoor/transport/stream.py
+++ b/burlmoor/transport/stream.py
@@ -217,18 +217,6 @@
             trio.lowlevel.notify_closing(sock)
         return sock
 
-    def close_unless_readable(self) -> bool:
-        """Close the socket unless bytes have arrived that were not read; return whether it is closed."""
-        if self._sock is None:
-            return True
-        try:
-            has_input = bool(self._sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            has_input = False  # nothing has arrived, or the connection broke
-        if not has_input:
-            self.close()
-        return not has_input
-
     def close(self) -> None:
         """Close the socket, and wake the tasks that wait on it."""
         sock = self.detach()
--- a/tests/integration/test_unread_requests.py
+++ b/tests/integration/test_unread_requests.py
@@ -21,7 +21,7 @@
     from pathlib import Path
 
 # A node with 128 descriptors closes idle connections to clients beyond 18 of them.
-DESCRIPTORS = 128
+LIMITS = {"limits": {"sockets": 128}}
 MAX_CONNECTIONS = 45  # of all clients, with so many descriptors
 CLIENTS = 30  # of each node
 NODES = 4  # a node may read before it closes; which comes first differs from one process to the next
@@ -77,7 +77,7 @@
         tmp_path,
         executor_specs(6),
         nodes=NODES,
-        sockets=DESCRIPTORS,
+        extra_config=LIMITS,
         RequestClasses=request_classes_with_long_objectives(),
     ) as cluster:
         clients = persistent_clients(cluster)
@@ -116,7 +116,7 @@
     tmp_path: Path, has_begun: bool
 ) -> None:
     # Guards against closing new connections whose request has arrived but was not read yet.
-    async with local_cluster(tmp_path, executor_specs(3), sockets=DESCRIPTORS) as cluster:
+    async with local_cluster(tmp_path, executor_specs(3), extra_config=LIMITS) as cluster:
         node = cluster.nodes[0]
         streams = [await connect(node.address) for _ in range(CLIENTS if has_begun else MAX_CONNECTIONS)]
         if has_begun:
