Let fleets that start together search for ports far apart

Cause: each fleet takes the first run of ports that is free, and binds it later. Searches began at runs that followed each other as the process ids do, so a fleet whose first run was in use took that of its neighbour, which had found it free as well.

--- a/burlmoor/testbed/fleet/addresses.py
+++ b/burlmoor/testbed/fleet/addresses.py
@@ -22,6 +22,7 @@
 _FIRST_EXECUTOR_ADDRESS = 0x7F020000  # 127.2.0.0
 _FIRST_LINK_ADDRESS = 0x7F400000  # 127.64.0.0
 _PORT_RANGE = (20_000, 30_000)
+_FIRST_RUN_STRIDE = 83  # between the first runs of ports that processes with successive ids try
 
 
 class LinkAddressError(BurlmoorError, ValueError):
@@ -117,9 +118,10 @@
     Raises:
         NoFreePortsError: no run of free ports is long enough.
     """
-    # Each process starts its search at another port, so that fleets that start together seldom collide.
+    # Fleets that start together have successive process ids. Each starts its search far from the others,
+    # since the ports that one of them has found free are not bound yet when the next searches.
     first_ports = range(*_PORT_RANGE, len(Ports._fields))
-    offset = os.getpid() % len(first_ports)
+    offset = os.getpid() * _FIRST_RUN_STRIDE % len(first_ports)
     for first in (*first_ports[offset:], *first_ports[:offset]):
         ports = Ports(*range(first, first + len(Ports._fields)))
         if _are_free(ports):
