Call the clients that the soak adds persistent clients

Renamed: module client_crowd, ClientCrowd, ClientCrowdConfig, FaultKind.CLIENT_CROWD, _CrowdGenerator and the names around them; some phrases of texts.

--- a/burlmoor/testbed/fleet/audit_answers.py
+++ b/burlmoor/testbed/fleet/audit_answers.py
@@ -38,7 +38,7 @@
         self._killed = NodeFaultHistory(record, FaultKind.NODE_KILL)
         self._paused = NodeFaultHistory(record, FaultKind.NODE_PAUSE)
         self._flooded = NodeFaultHistory(record, FaultKind.CONNECTION_FLOOD)
-        self._crowded = NodeFaultHistory(record, FaultKind.CLIENT_CROWD)
+        self._persistent_clients = NodeFaultHistory(record, FaultKind.PERSISTENT_CLIENTS)
         self._done_ids = {attempt.id for attempt in record.attempts if attempt.outcome is AttemptOutcome.DONE}
         self._received_ids = {attempt.id for attempt in record.attempts}
 
@@ -96,13 +96,16 @@
             # The request was written to an idle connection just as the terminating node closed it.
             return Excuse.NODE_SHUTTING_DOWN
         deadline_ms = sent_ms + request.timeout_ms
-        if any(faults.overlaps(node, sent_ms, deadline_ms) for faults in (self._flooded, self._crowded)):
+        if any(
+            faults.overlaps(node, sent_ms, deadline_ms)
+            for faults in (self._flooded, self._persistent_clients)
+        ):
             # A node makes room by closing a connection just as a request is written to it.
             return Excuse.CONNECTION_FLOOD
         return None
 
     def _connected_late(self, request: RequestRecord) -> bool:
-        """Whether the request was sent on a new connection after the platform directs any to its node."""
+        """Whether the request used a new connection after the platform directs any to its node."""
         for faults in (self._terminated, self._restarted):
             shutdown = faults.first_overlapping(request.node, request.sent_ms, request.sent_ms)
             if shutdown and request.sent_ms > shutdown.start_ms + _LAST_CONNECTION_AFTER_TERM_MS:
@@ -110,7 +113,7 @@
         return False
 
     def _was_paused(self, request: RequestRecord) -> bool:
-        """Whether the node was paused until the client gave up, or was killed while it was paused.
+        """Whether the node was paused until the client timed out, or was killed while it was paused.
 
         A node that resumes has to answer what arrived meanwhile.
         """
--- a/burlmoor/testbed/fleet/fault_kinds.py
+++ b/burlmoor/testbed/fleet/fault_kinds.py
@@ -28,8 +28,8 @@
     NODE_RELOAD = "reload"  # SIGHUP, `magnitude` times in a row
     CONNECTION_FLOOD = "crowd"  # `magnitude` idle clients
     # `magnitude` clients that each send a job on their open connection from time to time.
-    CLIENT_CROWD = "clients"
-    # Stopped again and again, for `magnitude` ms at most; excuses nothing.
+    PERSISTENT_CLIENTS = "clients"
+    # Stopped repeatedly, for `magnitude` ms at most; excuses nothing.
     NODE_STALLS = "stalls"
     # Executors.
     EXECUTOR_KILL = "die"
@@ -69,7 +69,7 @@
     FaultKind.NODE_RESTART,
     FaultKind.NODE_RELOAD,
     FaultKind.CONNECTION_FLOOD,
-    FaultKind.CLIENT_CROWD,
+    FaultKind.PERSISTENT_CLIENTS,
     FaultKind.NODE_STALLS,
 )
 EXECUTOR_FAULTS = (
--- a/burlmoor/testbed/fleet/faults.py
+++ b/burlmoor/testbed/fleet/faults.py
@@ -35,7 +35,7 @@
     - throttling: bytes per second;
     - executor slowdown: the factor by which the executor is slower;
     - restart and reload: a number of signals;
-    - connection flood, client crowd: a number of clients;
+    - connection flood, persistent clients: a number of clients;
     - stalls: the longest time for which a node is stopped, in ms.
     """
 
--- a/burlmoor/testbed/fleet/node_faults.py
+++ b/burlmoor/testbed/fleet/node_faults.py
@@ -11,14 +11,14 @@
 
 from burlmoor.testbed.clock import now_ms
 from burlmoor.testbed.event_record import RequestRecord
-from burlmoor.testbed.fleet import client_crowd
+from burlmoor.testbed.fleet import persistent_clients
 from burlmoor.testbed.fleet.addresses import Ports, node_address
 from burlmoor.testbed.fleet.child_process import ChildProcess, ProcessError
-from burlmoor.testbed.fleet.client_crowd import ClientCrowdConfig
 from burlmoor.testbed.fleet.connection_flood import ConnectionFlood
 from burlmoor.testbed.fleet.fault_kinds import FaultKind, UnsupportedFaultError
 from burlmoor.testbed.fleet.fault_timing import begin_interval, sleep_until
 from burlmoor.testbed.fleet.node_processes import READY_TIMEOUT_SECONDS, DelayedSignal, NodeProcesses
+from burlmoor.testbed.fleet.persistent_clients import PersistentClientsConfig
 from burlmoor.testbed.job_classes import JOB_CLASSES
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
 _MAX_COUNTED_DEADLINE_SECONDS = 3.0
 _KILL_MARGIN_SECONDS = 0.7
 _RELOAD_PAUSE_SECONDS = 0.15  # between consecutive reloads
-_CROWD_FINISH_TIMEOUT_SECONDS = 15.0  # for its last answers
+_CLIENTS_FINISH_TIMEOUT_SECONDS = 15.0  # for its last answers
 _MIN_STALL_MS = 40.0
 # Between two stalls of a node.
 _MIN_STALL_GAP_SECONDS = 0.1
@@ -73,8 +73,8 @@
                 await self._reload(fault, number)
             case FaultKind.CONNECTION_FLOOD:
                 await self._flood(fault, number)
-            case FaultKind.CLIENT_CROWD:
-                await self._crowd(fault, number)
+            case FaultKind.PERSISTENT_CLIENTS:
+                await self._run_persistent_clients(fault, number)
             case FaultKind.NODE_STALLS:
                 await self._stall_repeatedly(fault, number)
             case FaultKind.NODE_KILL | FaultKind.NODE_TERMINATION:
@@ -146,15 +146,15 @@
         await flood.run(fault.duration)
         interval.end_ms = now_ms()
 
-    async def _crowd(self, fault: Fault, number: int) -> None:
-        """Let a crowd of clients use a node, and add its requests to the record.
+    async def _run_persistent_clients(self, fault: Fault, number: int) -> None:
+        """Let persistent clients use a node, and add their requests to the record.
 
         Raises:
             ProcessError: the process of the clients ended, or did not finish in time.
         """
         interval = self._begin(fault, number)
-        output = self._folder / f"crowd-{number}.json"
-        config = ClientCrowdConfig(
+        output = self._folder / f"clients-of-{number}.json"
+        config = PersistentClientsConfig(
             address=(node_address(number), self._ports.node_http),
             node=number,
             clients=int(fault.magnitude),
@@ -162,12 +162,14 @@
             seed=self._record.plan.seed,
             output_path=str(output),
         )
-        process = ChildProcess(["-m", client_crowd.__name__], self._folder / "crowd.log", has_pipes=True)
+        process = ChildProcess(
+            ["-m", persistent_clients.__name__], self._folder / "persistent-clients.log", has_pipes=True
+        )
         try:
             process.send_line(config)
-            if not await process.wait_for_line(fault.duration + _CROWD_FINISH_TIMEOUT_SECONDS):
+            if not await process.wait_for_line(fault.duration + _CLIENTS_FINISH_TIMEOUT_SECONDS):
                 reason = f"did not finish (exit status {process.exit_status})"
-                raise ProcessError(client_crowd.__name__, reason)
+                raise ProcessError(persistent_clients.__name__, reason)
         finally:
             await process.kill()
         self._record.requests += msgspec.json.decode(output.read_bytes(), type=list[RequestRecord])
--- a/burlmoor/testbed/fleet/persistent_clients.py
+++ b/burlmoor/testbed/fleet/persistent_clients.py
@@ -1,4 +1,4 @@
-"""A crowd of clients of one node: `python -m burlmoor.testbed.fleet.client_crowd`.
+"""Persistent clients of one node: `python -m burlmoor.testbed.fleet.persistent_clients`.
 
 Each client has one connection, which carries a job now and then. A process of its own observes the ends of
 connections without the delays of the process that starts and stops the nodes.
@@ -24,7 +24,7 @@
 _WORK_MS = 5.0
 
 
-class ClientCrowdConfig(msgspec.Struct):
+class PersistentClientsConfig(msgspec.Struct):
     """The node, the number of its clients and how long they send jobs."""
 
     address: tuple[str, int]
@@ -35,13 +35,13 @@
     output_path: str
 
 
-class ClientCrowd:
-    """Owns the clients of one crowd, and records what they observe.
+class PersistentClients:
+    """Owns the clients, and records what they observe.
 
     A client sends its next job on its open connection, and opens a new one only if the node has closed it.
     """
 
-    def __init__(self, config: ClientCrowdConfig) -> None:
+    def __init__(self, config: PersistentClientsConfig) -> None:
         self._config = config
         self._rng = random.Random(config.seed)
         self._event_record = EventRecord()
@@ -65,18 +65,18 @@
 
     def _make_request(self, client: int, number: int) -> RequestRecord:
         job_class = JOB_CLASSES[0]
-        request_id = f"crowd{self._config.node}-{client}-{number}"
+        request_id = f"client{self._config.node}-{client}-{number}"
         return RequestRecord(
             request_id, job_class.name, now_ms(), job_class.timeout_ms, _WORK_MS, node=self._config.node
         )
 
 
-async def serve(config: ClientCrowdConfig) -> None:
-    """Run the crowd, write the records of its requests as JSON, and report that it has finished."""
-    requests = await ClientCrowd(config).run()
+async def serve(config: PersistentClientsConfig) -> None:
+    """Run the clients, write the records of its requests as JSON, and report that it has finished."""
+    requests = await PersistentClients(config).run()
     Path(config.output_path).write_bytes(msgspec.json.encode(requests))  # noqa: ASYNC240 - no task is left
     send_status_line()
 
 
 if __name__ == "__main__":
-    sys.exit(run_process(serve, ClientCrowdConfig))
+    sys.exit(run_process(serve, PersistentClientsConfig))
--- a/burlmoor/testbed/fleet/random_schedule.py
+++ b/burlmoor/testbed/fleet/random_schedule.py
@@ -39,9 +39,9 @@
 _SLOW_LINK_PROBABILITY = 0.5  # for each run
 _FLOOD_PROBABILITY = 0.35  # for each run
 _FLOOD_CONNECTIONS = 300.0
-_CROWD_CLIENTS = 80.0  # more than the node keeps idle connections for
-_MAX_STALL_MS = 150.0  # for which a node may be held up between two steps, by the rules
-_CROWD_FLOOD_PROBABILITY = 0.5  # for each run
+_PERSISTENT_CLIENTS = 80.0  # more than the node keeps idle connections for
+_MAX_STALL_MS = 150.0  # for which the rules allow a node to stall between two steps
+_CLIENTS_FLOOD_PROBABILITY = 0.5  # for each run
 
 
 class _Parameters(TypedDict, total=False):
@@ -117,8 +117,8 @@
     generator = _FaultSeriesGenerator(random.Random(f"{seed}:series"), _faulted_seconds(seconds))
     series = (*generator.draw_restarts(), generator.draw_reloads(), *generator.draw_slow_links())
     floods = generator.draw_connection_floods()
-    crowds = _CrowdGenerator(random.Random(f"{seed}:crowds"), _faulted_seconds(seconds)).draw()
-    return FaultSchedule(seed, (*schedule.faults, *series, *floods, *crowds))
+    clients = _PersistentClientsGenerator(random.Random(f"{seed}:crowds"), _faulted_seconds(seconds)).draw()
+    return FaultSchedule(seed, (*schedule.faults, *series, *floods, *clients))
 
 
 def _faulted_seconds(seconds: float) -> float:
@@ -190,8 +190,8 @@
         return [_round_times(flood)]
 
 
-class _CrowdGenerator:
-    """Draws a crowd of clients of one node, which is stalled for short times and restarted meanwhile."""
+class _PersistentClientsGenerator:
+    """Draws persistent clients of one node, which is stalled for short times and restarted meanwhile."""
 
     def __init__(self, rng: random.Random, end: float) -> None:
         self._rng = rng
@@ -202,7 +202,7 @@
         node = node_name(self._rng.randrange(_MIN_SOAK_NODES))
         draw = partial(self._draw, nodes=node)
         faults = [
-            draw(FaultKind.CLIENT_CROWD, 0.0, self._end, magnitude=_CROWD_CLIENTS),
+            draw(FaultKind.PERSISTENT_CLIENTS, 0.0, self._end, magnitude=_PERSISTENT_CLIENTS),
             draw(FaultKind.NODE_STALLS, 0.0, self._end, magnitude=_MAX_STALL_MS),
         ]
         at = self._rng.uniform(1.0, _RESTART_CYCLE_SECONDS)
@@ -210,7 +210,7 @@
             signals = float(self._rng.randint(0, _MAX_FURTHER_SIGNALS))
             faults.append(draw(FaultKind.NODE_RESTART, at, self._rng.uniform(0.1, 1.0), magnitude=signals))
             at += _RESTART_CYCLE_SECONDS
-        if self._rng.random() < _CROWD_FLOOD_PROBABILITY:
+        if self._rng.random() < _CLIENTS_FLOOD_PROBABILITY:
             faults.append(
                 draw(FaultKind.CONNECTION_FLOOD, 1.0, 0.6 * self._end, magnitude=_FLOOD_CONNECTIONS)
             )
--- a/tests/testbed/fleet/test_drills.py
+++ b/tests/testbed/fleet/test_drills.py
@@ -88,7 +88,7 @@
 
 
 def test_the_soak_drill_fails_for_nodes_that_close_connections_over_unread_requests(tmp_path: Path) -> None:
-    """A crowd of clients uses a node that is stalled for short times and restarted meanwhile."""
+    """Persistent clients use a node that is stalled for short times and restarted meanwhile."""
     arguments = ["soak", "--nodes", "10", "--seconds", "20", "--seed", "401"]
     claims = run_drills(tmp_path, arguments, "close-unread")
     assert all(claim.held for claim in claims["unmodified"].values())
