--- a/tests/integration/test_stalls.py
+++ b/tests/integration/test_stalls.py
@@ -11,7 +11,7 @@
 from burlmoor.testbed.clock import now_ms
 from burlmoor.testbed.local_cluster import new_request
 from tests.support.linked_cluster import SEARCH, open_linked_cluster, send_jobs
-from tests.support.long_objectives import request_classes_with_long_objectives
+from tests.support.request_classes import request_classes_with_long_objectives
 from tests.support.stalled_process import stop_process
 
 if TYPE_CHECKING:
--- a/tests/integration/test_unread_requests.py
+++ b/tests/integration/test_unread_requests.py
@@ -4,17 +4,16 @@
 
 import signal
 from contextlib import AsyncExitStack
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import pytest
 import trio
 
 from burlmoor.testbed.clients import ClientPool
 from burlmoor.testbed.http_stream import HttpStream, connect
-from burlmoor.testbed.job_classes import JOB_CLASSES, platform_settings
 from burlmoor.testbed.local_cluster import LocalCluster, executor_specs, local_cluster, new_request
 from tests.support.linked_cluster import SEARCH
-from tests.support.long_objectives import request_classes_with_long_objectives
+from tests.support.request_classes import request_classes_with, request_classes_with_long_objectives
 from tests.support.stalled_process import stalled
 
 if TYPE_CHECKING:
@@ -144,18 +143,14 @@
 EXIT_STALL = Stall(0.05, 0.65)
 
 
-def request_classes_with_short_deadlines() -> list[dict[str, Any]]:
-    """Return the setting `RequestClasses` with the testbed's classes and short deadlines."""
-    job_classes = [job_class._replace(timeout_ms=SHORT_DEADLINE_MS) for job_class in JOB_CLASSES]
-    classes: list[dict[str, Any]] = platform_settings(job_classes)["RequestClasses"]
-    return classes
-
-
 @pytest.mark.parametrize("is_accepted", [False, True])
 async def test_no_request_is_lost_when_a_stalled_node_exits(tmp_path: Path, is_accepted: bool) -> None:
     # Guards against an exit that resets connections, accepted or in the backlog, whose request was not read.
     async with local_cluster(
-        tmp_path, executor_specs(3), nodes=NODES, RequestClasses=request_classes_with_short_deadlines()
+        tmp_path,
+        executor_specs(3),
+        nodes=NODES,
+        RequestClasses=request_classes_with(timeout_ms=SHORT_DEADLINE_MS),
     ) as cluster:
         for node in cluster.nodes:
             node.send_signal(signal.SIGTERM)
--- a/tests/testbed/test_mutations.py
+++ b/tests/testbed/test_mutations.py
@@ -12,7 +12,7 @@
 from burlmoor.testbed.local_cluster import executor_specs, local_cluster, new_request
 from burlmoor.testbed.mutations import MUTATIONS, mutated_node_command
 from burlmoor.testbed.mutations.mutation import replace_attributes
-from tests.support.long_objectives import request_classes_with_long_objectives
+from tests.support.request_classes import request_classes_with_long_objectives
 
 if TYPE_CHECKING:
     from pathlib import Path
