--- a/tests/downstream/test_http.py
+++ b/tests/downstream/test_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from http import HTTPStatus
 
 import pytest
@@ -16,6 +17,7 @@
     ReadinessCheck,
 )
 from burlmoor.downstream.responses import Response
+from burlmoor.lifecycle.connection_limits import divide_descriptors
 
 JOB = (
     b"POST /lookup/00ff?x=1 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: 9b1f\r\nTenant: acme\r\n"
@@ -139,3 +141,30 @@
     response = Response(request.status, request.reason.encode())
     assert http.encode_response(response).startswith(b"HTTP/1.1 %d " % status)
     assert http.is_closing
+
+
+MEMORY_LIMIT_BYTES = 192 << 20  # of a node with at most 1,024 descriptors (deployment page, "Limits")
+MAX_CONNECTION_BYTES = MEMORY_LIMIT_BYTES // 2 // divide_descriptors(1024).downstream
+INCOMPLETE = JOB.replace(b"Content-Length: 4", b"Content-Length: 65536")
+MANY_FIELDS = b"a:b\r\n" * 1000 + b"Content-Length"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        INCOMPLETE.replace(b"Content-Length", MANY_FIELDS),
+        INCOMPLETE.partition(b"\r\n\r\n")[0].replace(b"Tenant", b"a:b\r\n" * 3000 + b"Tenant"),
+        INCOMPLETE + b"x" * 65_000,
+        JOB.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked")[:-4] + b"1\r\nx\r\n" * 60_000,
+    ],
+    ids=["fields", "incomplete head", "body", "chunks"],
+)
+def test_incomplete_requests_on_all_connections_fit_into_half_of_the_memory(data: bytes) -> None:
+    # Guards against keeping a parsed head with thousands of fields while its body is incomplete.
+    http = build_connection()
+    tracemalloc.start()
+    for start in range(0, len(data), 16_384):
+        http.receive_data(data[start : start + 16_384])
+    retained_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert retained_bytes <= MAX_CONNECTION_BYTES
--- a/tests/integration/test_client_disconnects.py
+++ b/tests/integration/test_client_disconnects.py
@@ -72,6 +72,28 @@
         await harness.wait_until(lambda: harness.closed_by_node_count)  # and the executor notices it
 
 
+@pytest.mark.parametrize("how", ["closes", "resets"])
+@pytest.mark.parametrize("given_settings", [SETTINGS_OBJECT, NO_CANCEL])
+async def test_no_attempt_begins_after_a_client_has_disconnected_behind_unread_input(
+    how: str, given_settings: dict[str, Any]
+) -> None:
+    # Guards against a retry for a client that wrote more than the node has read, and then left.
+    async with open_node_harness(*["hang"] * 20, given_settings=given_settings) as harness:
+        client = await harness.submit_job(timeout_ms=6000)
+        await harness.wait_until(lambda: harness.jobs)
+        with trio.move_on_after(0.3):  # the first attempt is cancelled after 0.45 s without a response
+            while True:
+                await client.socket_stream.send_all(b"x" * 1_000_000)
+        if how == "closes":
+            client.close()
+        else:
+            client.reset()
+        await trio.sleep(0.1)
+        attempt_count = len(harness.jobs)
+        await trio.sleep(1.0)
+        assert len(harness.jobs) == attempt_count
+
+
 class WritingClient:
     """Keeps writing on a connection whose request is open."""
 
--- a/tests/integration/test_stalls.py
+++ b/tests/integration/test_stalls.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import signal
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import pytest
 import trio
 
 from burlmoor.testbed.clock import now_ms
-from burlmoor.testbed.local_cluster import new_request
+from burlmoor.testbed.event_record import AnyRequestId
+from burlmoor.testbed.http_stream import connect
+from burlmoor.testbed.local_cluster import executor_specs, local_cluster, new_request
 from tests.support.linked_cluster import SEARCH, open_linked_cluster, send_jobs
 from tests.support.request_classes import request_classes_with_long_objectives
-from tests.support.stalled_process import stop_process
+from tests.support.stalled_process import stalled, stop_process
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 CLIENTS = 12
+NODES = 4
+NEW_CLIENTS = 100  # of each node; a request is admitted or its client's leave read first, by chance
 DISCONNECT_AFTER_MS = 50.0
 MAX_CROSSING_MS = 100.0  # longest time between a request and a close that cross each other
 KILL_AFTER_MS = 3700.0  # after SIGTERM, where deadlines are 3 s or more
@@ -47,6 +52,29 @@
         assert len(sent) == (0 if do_clients_disconnect else CLIENTS)
 
 
+@pytest.mark.parametrize("how", ["close", "reset"])
+async def test_no_attempt_begins_for_many_clients_that_left_new_connections_during_a_stall(
+    tmp_path: Path, how: str
+) -> None:
+    # Guards against admitting a request whose client has left before the node accepted its connection.
+    async with local_cluster(
+        tmp_path, executor_specs(6), nodes=NODES, RequestClasses=request_classes_with_long_objectives()
+    ) as cluster:
+        cluster.event_record.requests = AnyRequestId()
+        async with AsyncExitStack() as stalls:
+            for node in cluster.nodes:
+                await stalls.enter_async_context(stalled(node))
+            streams = [await connect(node.address) for node in cluster.nodes for _ in range(NEW_CLIENTS)]
+            for number, stream in enumerate(streams):
+                headers = {"Request_Id": f"bb{number}", "Request_Timeout_Ms": "6000"}
+                await stream.write(f"POST /{SEARCH.name}/k HTTP/1.1", b'{"work":20.0}', Host="svc", **headers)
+            for stream in streams:
+                stream.close() if how == "close" else stream.reset()
+            await trio.sleep(0.3)
+        await trio.sleep(1.0)
+        assert [attempt.id for attempt in cluster.event_record.attempts] == []
+
+
 @pytest.mark.parametrize("stall_seconds", [1.5, 3.0])
 async def test_a_process_stalled_across_sigterm_exits_before_sigkill(
     tmp_path: Path, stall_seconds: float
--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -163,3 +163,42 @@
             assert (await harness.read_response(client)).status == 503
         assert not harness.jobs
         await new.stop()
+
+
+async def submit_and_leave(harness: NodeHarness, request_id: str) -> None:
+    """Submit a job and disconnect once an executor has it."""
+    client = await harness.submit_job("once", request_id)
+    await harness.wait_until(lambda: harness.find_attempts(request_id))
+    await client.socket_stream.aclose()
+
+
+async def assert_id_refused(harness: NodeHarness, client: HttpStream, request_id: str) -> None:
+    """Assert that a job with this id is answered with 400 and not sent."""
+    attempts = harness.find_attempts(request_id)
+    await harness.send_job(client, "once", request_id)
+    assert (await harness.read_response(client)).status == 400
+    assert harness.find_attempts(request_id) == attempts
+
+
+async def test_an_id_is_sent_by_only_one_of_the_processes_of_a_handover(tmp_path: Path) -> None:
+    # Guards against a second run of a job whose id comes again at the other process of an upgrade.
+    async with open_handover_harness(tmp_path) as harness:
+        old = await harness.start_process()
+        await old.wait_ready()
+        await submit_and_leave(harness, "before")
+        call_count = len(harness.discovery_paths)
+        new = await harness.start_process()
+        # It calls discovery once it has the old process's state; the old one serves until it is answered.
+        await harness.wait_until(lambda: len(harness.discovery_paths) > call_count)
+        await submit_and_leave(harness, "meanwhile")
+        partial, _ = await open_recent_connections(harness, new)
+        for request_id in ("before", "meanwhile"):
+            await assert_id_refused(harness, await harness.connect_client(), request_id)
+        # The job `a3`, whose request the old process has read in part, is admitted by the new one.
+        await submit_and_leave(harness, "a3")
+        await partial.socket_stream.send_all(b"Request-Timeout-Ms: 3000\r\nContent-Length: 0\r\n\r\n")
+        assert (await harness.read_response(partial)).status == 400
+        assert len(harness.find_attempts("a3")) == 1
+        await old.stop()
+        await assert_id_refused(harness, await harness.connect_client(), "meanwhile")
+        await new.stop()
