Release the request and the connection of a job once it is closed

What callers saw: a node over its memory limit while clients sent jobs faster than their timeouts passed. Cause: a closed job stays in the queue of deadlines until its deadline, and kept its body, and through its responder its client's connection with all buffers. Change: Job.close drops both; nothing is sent or answered for a closed job.

--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -92,9 +92,9 @@
 
     id: str  # the client's Request-Id
     number: int  # the job's id in the policy's events and actions
-    responder: Responder
+    responder: Responder | None  # None once the job is closed
     class_name: str
-    payload: Any  # the request as upstream sends it; opaque to the engine
+    payload: Any  # the request as upstream sends it; opaque to the engine; None once the job is closed
     received_at: float
     deadline: float
     is_non_idempotent: bool
@@ -112,8 +112,14 @@
         self.passed_to_policy_at = self.received_at
 
     def close(self, answer: FinalAnswer | None, reason: EndReason | None, now: float) -> None:
-        """Record the final answer, None if the client has disconnected, and the reason for it."""
+        """Record the final answer, None if the client has disconnected, and the reason for it.
+
+        The request and the client's connection are released: a closed job stays in the queue of deadlines,
+        and with its open attempts, for seconds.
+        """
         self.is_closed = True
+        self.responder = None
+        self.payload = None
         self.answer_type = None if answer is None else type(answer)
         self.end_reason = reason
         self.closed_at = now
--- a/burlmoor/engine/job_lifecycle.py
+++ b/burlmoor/engine/job_lifecycle.py
@@ -70,8 +70,10 @@
 
     def answer(self, job: Job, answer: FinalAnswer, reason: EndReason | None = None) -> None:
         """Close an open job and send its client the final answer; `reason` is None only for a result."""
+        responder = job.responder
         self._close(job, answer, reason)
-        job.responder.respond(answer)
+        if responder is not None:
+            responder.respond(answer)
 
     def answer_in_place_of_policy(self, job: Job, answer: FinalAnswer, reason: EndReason) -> None:
         """Answer a job that the policy has left open, and notify the policy that it is closed."""
