Handle what a connection sends beyond one request at a time in shared turns

What callers saw: late answers or none while one client sent small or unsound requests at full speed. Cause: a connection's task handled all that a read had returned before any other task ran: 160 call-backs, 2,700 chunks of one byte, a head of 3,100 fields. Hundreds of connections that write byte by byte took every turn of the event loop. Change: the HTTP state machine parses at most 64 lines a call.

--- a/burlmoor/downstream/accepted_socket.py
+++ b/burlmoor/downstream/accepted_socket.py
@@ -151,5 +151,6 @@
         if self.stream.is_closed:
             return  # already closed, or passed to another process
         self.stream.close()
+        self.scope.cancel()  # its task may wait for something else than the socket
         reason = self._close_reason or default_reason
         self._counters.count(CounterGroup.CLIENT_CLOSES, reason.value)
--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -9,6 +9,7 @@
 
 from burlmoor.downstream.accepted_socket import LINGER_BYTES
 from burlmoor.downstream.drain import ServiceState
+from burlmoor.downstream.excess_input import InputAllowance
 from burlmoor.downstream.http import HttpServerConnection
 from burlmoor.downstream.requests import JobCallback, JobSubmission, ParsedRequest
 from burlmoor.downstream.responses import Response
@@ -21,6 +22,7 @@
     from burlmoor.downstream.accepted_socket import AcceptedSocket
     from burlmoor.downstream.connection_set import ConnectionSet
     from burlmoor.downstream.drain import DrainController
+    from burlmoor.downstream.excess_input import ExcessInputTurns
     from burlmoor.downstream.job_headers import JobSubmissionParser
     from burlmoor.downstream.peer_processes import PeerProcesses
     from burlmoor.downstream.request_handler import RequestHandler
@@ -28,8 +30,8 @@
     from burlmoor.engine.job import Job
 
 
-# More than the largest request takes: 16 KiB are read at a time.
-_MAX_PENDING_READS = 8
+# More portions than the largest request with a Content-Length takes: 16 KiB are read at a time.
+_MAX_PENDING_PORTIONS = 12
 
 
 class DownstreamConnection:
@@ -49,6 +51,7 @@
         connections: ConnectionSet,
         peers: PeerProcesses,
         drain: DrainController,
+        excess_input: ExcessInputTurns,
         nursery: trio.Nursery,
         *,
         has_been_used: bool,
@@ -60,9 +63,11 @@
         self._connections = connections
         self._peers = peers
         self._drain = drain
+        self._excess_input = excess_input
+        self._allowance = InputAllowance()
+        self._receive_scope = trio.CancelScope()  # cancels the wait for further input
         self._nursery = nursery
         self._job: Job | None = None  # the open job that the client waits for
-        self._is_processing = False
         self._last_request_id: str | UnsetType = UNSET
         self.has_been_used = has_been_used
         self.state_since = trio.current_time() if has_been_used else accepted_socket.accepted_at
@@ -93,6 +98,15 @@
         """Whether there is nothing more to read or to answer."""
         return self._http.is_closing and not self._http.has_open_request
 
+    @property
+    def _can_handle_input(self) -> bool:
+        """Whether input has been read that may be handled now."""
+        # A job admitted from a connection that is closed, or about to be, could not be answered.
+        is_closed = self._stream.is_closed or self._socket.scope.cancel_called
+        if is_closed or self._http.has_open_request or self._http.is_closing:
+            return False
+        return bool(self._stream.inbound) or self._http.has_unparsed_input
+
     def serve_without_task(self) -> bool:
         """Handle the input that has already arrived; return whether that completed and closed the connection.
 
@@ -129,6 +143,10 @@
 
     async def _read(self) -> None:
         while not self.is_finished:
+            if self._can_handle_input:
+                async with self._excess_input.turn():
+                    self._handle_next_portion()
+                continue
             if not self._stream.inbound.free_space:
                 # Keep reading with a full buffer, to notice when the client disconnects: a close is only read
                 # after all data before it, and its job would otherwise go on. The client has sent more than
@@ -136,32 +154,49 @@
                 self._http.stop_reading()
                 await self._stream.discard_until_end(LINGER_BYTES)
                 return
-            if not await self._stream.receive():
+            if not await self._receive():
                 return
-            self.process_input()
+
+    async def _receive(self) -> bool:
+        """Wait for input, or until a response allows buffered input to be handled, and handle it.
+
+        Returns False if the client has shut down its sending side.
+
+        Raises:
+            OSError: the connection broke.
+        """
+        with trio.CancelScope() as self._receive_scope:
+            if not await self._stream.receive():
+                return False
+        self.process_input()
+        return True
 
     def process_input(self) -> None:
-        """Handle buffered requests until one is left waiting for its response."""
-        # A job admitted from a connection that is being closed could not be answered.
-        if self._is_processing or self._socket.scope.cancel_called:
-            return
-        self._is_processing = True
+        """Handle the input that has been read, as far as the allowance goes.
+
+        The connection's task handles the rest in turns.
+        """
         self.last_received_at = trio.current_time()
-        try:
-            while not self._http.has_open_request and not self._http.is_closing:
-                if self.has_been_used and self._http.is_idle:
-                    self.state_since = trio.current_time()
-                request = self._http.receive_data(self._stream.inbound.read_all())
-                if request is None:
-                    if interim := self._http.encode_continue_response():
-                        self._send(interim)
-                    break
-                self.has_been_used = True
-                self._handle(request)
-        finally:
-            self._is_processing = False
+        self._allowance.on_read(len(self._stream.inbound))
+        while self._can_handle_input and not self._allowance.is_used_up:
+            self._handle_next_portion()
         self.pass_to_successor()
 
+    def _handle_next_portion(self) -> None:
+        """Parse the next portion of the input, and handle the request that it completes."""
+        if not self._can_handle_input:
+            return
+        if self.has_been_used and self._http.is_idle:
+            self.state_since = trio.current_time()
+        request = self._http.receive_data(self._stream.inbound.read_all())
+        self._allowance.on_lines_parsed(self._http.last_line_count)
+        if request is not None:
+            self.has_been_used = True
+            self._allowance.on_request(has_more_input=self._http.has_unparsed_input)
+            self._handle(request)
+        elif interim := self._http.encode_continue_response():
+            self._send(interim)
+
     def _handle(self, request: ParsedRequest) -> None:
         if isinstance(request, JobSubmission):
             self._last_request_id = request.request_id
@@ -176,15 +211,22 @@
             self._handler.on_job_admitted(result)
 
     def respond(self, answer: FinalAnswer) -> None:
-        """Send the client the final answer of its job, then process the buffered requests."""
+        """Send the client the final answer of its job."""
         self._job = None
         self._write_response(self._handler.on_job_answered(answer))
-        self.process_input()
+        self._on_responded()
+
+    def _on_responded(self) -> None:
+        """Wake the connection's task if there is buffered input; pass an idle connection on."""
+        if self._can_handle_input:
+            self._receive_scope.cancel()
+        else:
+            self.pass_to_successor()
 
     async def _forward_callback(self, body: bytes) -> None:
         try:
             self._write_response(await self._handler.forward_callback(body))
-            self.process_input()
+            self._on_responded()
         except Exception as error:  # noqa: BLE001 - the call-back's task ends here
             # An uncaught error would cancel the nursery and stop the node.
             self._socket.on_error(error)
@@ -207,12 +249,13 @@
     def read_pending_input(self) -> None:
         """Handle input that has arrived but was not read yet, up to the end of one request."""
         try:
-            for _ in range(_MAX_PENDING_READS):
+            for _ in range(_MAX_PENDING_PORTIONS):
                 if self._stream.is_closed or not (self.is_idle or self.has_partial_request):
                     return
-                if self._stream.receive_now() is not ReceiveResult.DATA:
+                if not self._can_handle_input and self._stream.receive_now() is not ReceiveResult.DATA:
                     return
-                self.process_input()
+                self.last_received_at = trio.current_time()
+                self._handle_next_portion()
         except (OSError, BufferError):
             self.close(CloseReason.BROKEN)
         except Exception as error:  # noqa: BLE001
--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -182,10 +182,11 @@
         for connection in list(self._connections):
             connection.close(CloseReason.SHUTDOWN)
 
-    def close_expired(self, now: float) -> None:
+    async def close_expired(self, now: float) -> None:
         """Close the connections past a time limit, and surplus idle ones."""
         for connection in select_timed_out(self._connections, now):
             self._close_if(partial(is_timed_out, now=now), connection, CloseReason.TIMED_OUT)
+            await trio.lowlevel.checkpoint()  # many may expire at once, and each may have input to parse
         surplus = select_surplus_idle(
             self._connections, self._waiting_client_count, self._max_connections, now
         )
--- a/burlmoor/downstream/http.py
+++ b/burlmoor/downstream/http.py
@@ -25,6 +25,7 @@
 CALLBACK_PATH = "/v1/job-events"
 _MAX_HEAD_BYTES = 16384
 _MAX_REASON_LENGTH = 100
+_MAX_PORTION_LINES = 64  # given to h11 in one call, so that a call takes about a millisecond at most
 _CONNECTION_CLOSE = ("Connection", "close")
 _CONTINUE = h11.InformationalResponse(status_code=HTTPStatus.CONTINUE, headers=[])
 _STATUS_NO_CONTENT = HTTPStatus.NO_CONTENT
@@ -51,6 +52,8 @@
     - `has_open_request`: a request has arrived and has no response yet
     - `is_closing`: no further request is read, and the connection closes after any open request's response
     - `has_rejected_body`: a body was rejected for its Content-Length, and the client may still be writing it
+    - `last_line_count`: how many lines the last call of `receive_data` has parsed; a body with a
+      Content-Length has none
     """
 
     def __init__(self, parser: JobSubmissionParser) -> None:
@@ -58,6 +61,10 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._head: RequestHead | None = None
         self._body = bytearray()
+        self._missing_body_bytes = 0  # of a body with a Content-Length
+        self._unparsed = bytearray()  # received, but not given to h11 yet
+        self._may_have_buffered_request = False  # whether h11 has input behind the last request
+        self.last_line_count = 0
         self.has_open_request = False
         self._omits_response_body = False  # for HEAD, which gets the headers only
         self.is_closing = False
@@ -67,25 +74,61 @@
     def may_have_unread_input(self) -> bool:
         """Whether there is unread input, or more input may arrive."""
         has_ended = self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-        return not has_ended or bool(self._http.trailing_data[0])
+        return not has_ended or self._has_received_more
+
+    @property
+    def has_unparsed_input(self) -> bool:
+        """Whether `receive_data` may find another request without further data."""
+        return bool(self._unparsed) or self._may_have_buffered_request
+
+    @property
+    def _has_received_more(self) -> bool:
+        """Whether input has been received behind the events that h11 has returned."""
+        return bool(self._unparsed) or bool(self._http.trailing_data[0])
 
     @property
     def is_idle(self) -> bool:
         """Whether there is neither a partial nor an open request."""
-        return not self.has_open_request and self._head is None and not self._http.trailing_data[0]
+        return not self.has_open_request and self._head is None and not self._has_received_more
 
     def stop_reading(self) -> None:
         """Read no further request; the connection closes after the response to the open request, if any."""
         self.is_closing = True
 
     def receive_data(self, data: bytes) -> ParsedRequest | None:
-        """Parse bytes and return the request once it is complete. No request may be open."""
+        """Parse a portion of the input and return the request if that completes it. No request may be open.
+
+        If `has_unparsed_input` then holds, another call without data continues.
+        """
+        self._unparsed += data
+        self.last_line_count = 0
         try:
-            if data:
-                self._http.receive_data(data)
-            return self._parse_next()
+            request = self._parse_next() if self._may_have_buffered_request else None
+            if request is None and self._unparsed:
+                self._http.receive_data(self._take_portion())
+                request = self._parse_next()
         except h11.RemoteProtocolError as error:
             return self._reject(InvalidRequest(HTTPStatus(error.error_status_hint), str(error)))
+        self._may_have_buffered_request = request is not None and bool(self._http.trailing_data[0])
+        return request
+
+    def _take_portion(self) -> bytes:
+        """Remove and return the input to parse next: of a known body all of it, else a number of lines."""
+        end = self._missing_body_bytes or self._find_line_end()
+        portion = bytes(self._unparsed[:end])
+        del self._unparsed[:end]
+        return portion
+
+    def _find_line_end(self) -> int:
+        """Return the end of the last line of a portion, or the end of the input."""
+        end = 0
+        while self.last_line_count < _MAX_PORTION_LINES:
+            newline = self._unparsed.find(b"\n", end)
+            if newline < 0:
+                return len(self._unparsed)
+            end = newline + 1
+            self.last_line_count += 1
+        return end
 
     def _parse_next(self) -> ParsedRequest | None:
         while True:
@@ -112,10 +155,12 @@
         if int(length) > MAX_BODY_BYTES:
             self.has_rejected_body = True
             return self._reject(_BODY_TOO_LARGE)
+        self._missing_body_bytes = int(length)
         return None
 
     def _on_body_data(self, data: bytes) -> InvalidRequest | None:
         self._body += data
+        self._missing_body_bytes = max(0, self._missing_body_bytes - len(data))
         if len(self._body) > MAX_BODY_BYTES:
             return self._reject(_BODY_TOO_LARGE)
         return None
--- a/burlmoor/downstream/server.py
+++ b/burlmoor/downstream/server.py
@@ -10,6 +10,7 @@
 from burlmoor.downstream.connection import DownstreamConnection
 from burlmoor.downstream.connection_set import ConnectionSet
 from burlmoor.downstream.drain import ServiceState
+from burlmoor.downstream.excess_input import ExcessInputTurns
 from burlmoor.downstream.job_headers import JobSubmissionParser
 from burlmoor.downstream.peer_processes import PeerProcesses
 from burlmoor.downstream.request_handler import RequestHandler
@@ -61,6 +62,7 @@
         self._nursery = nursery
         self._log = log
         self._counters = counters
+        self._excess_input = ExcessInputTurns()
         self._drain_observer: DrainObserver | None = None
         self._is_accepting = False
         self._is_closed = False  # the listening socket
@@ -125,6 +127,7 @@
             self.connections,
             self.peers,
             self._drain,
+            self._excess_input,
             self._nursery,
             has_been_used=has_been_used,
         )
@@ -176,15 +179,15 @@
         """Periodically close the connections past a time limit, and idle ones while the node drains."""
         while True:
             await trio.sleep(_SWEEP_INTERVAL_SECONDS)
-            self._sweep_once(trio.current_time())
+            await self._sweep_once(trio.current_time())
 
-    def _sweep_once(self, now: float) -> None:
+    async def _sweep_once(self, now: float) -> None:
         is_closing_connections = self._drain.state >= ServiceState.CLOSING
         if self._drain_observer is not None:
             self._drain_observer(is_closing_connections=is_closing_connections)
         if is_closing_connections:
             self.connections.close_idle()
-        self.connections.close_expired(now)
+        await self.connections.close_expired(now)
 
 
 def build_downstream_server(
--- a/tests/downstream/test_http.py
+++ b/tests/downstream/test_http.py
@@ -165,6 +165,8 @@
     tracemalloc.start()
     for start in range(0, len(data), 16_384):
         http.receive_data(data[start : start + 16_384])
+        while http.has_unparsed_input:
+            http.receive_data(b"")
     retained_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert retained_bytes <= MAX_CONNECTION_BYTES
