Check at the socket that a job's client is still connected before each attempt

Cause: the node knew of a client's leave only from what it had read. A close lies behind all that the client wrote, which is read slowly beyond 8 MiB, and after a stall an attempt may begin, or a request be admitted, before the connection's task has read at all. Change: poll(2) shows a shutdown or a reset behind unread bytes. It is asked when a request is complete and in the send precondition, which also reads, and past the buffer discards, what has arrived behind the open request. A connection that discards slowly looks every 50 ms.

--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -200,6 +200,9 @@
     def _handle(self, request: ParsedRequest) -> None:
         if isinstance(request, JobSubmission):
             self._last_request_id = request.request_id
+            if self._stream.has_peer_closed():
+                self.close(CloseReason.PEER_CLOSED)
+                return
         result = self._handler.handle(request, self)
         if isinstance(result, Response):
             self._write_response(result)
@@ -210,6 +213,33 @@
             self._job = result
             self._handler.on_job_admitted(result)
 
+    def detect_disconnect(self) -> bool:
+        """Close the connection if the client has closed it; return whether it is closed.
+
+        The task that reads may not have run since then, and what the client wrote before may be unread.
+        """
+        try:
+            if not (self._stream.has_peer_closed() or self._read_ahead()):
+                return self._stream.is_closed
+        except OSError:
+            self._socket.record_close_reason(CloseReason.BROKEN)
+        self.close(CloseReason.PEER_CLOSED)
+        return True
+
+    def _read_ahead(self) -> bool:
+        """Read what has arrived behind the open request; return whether the client's close follows it.
+
+        Raises:
+            OSError: the connection broke.
+        """
+        while (result := self._stream.receive_now()) is ReceiveResult.DATA:
+            pass
+        if not self._stream.inbound.free_space:
+            self._http.stop_reading()
+            self._receive_scope.cancel()  # the task discards further input
+            self._stream.discard_available(LINGER_BYTES)
+        return result is ReceiveResult.END or self._stream.has_peer_closed()
+
     def respond(self, answer: FinalAnswer) -> None:
         """Send the client the final answer of its job."""
         self._job = None
--- a/burlmoor/engine/answers.py
+++ b/burlmoor/engine/answers.py
@@ -36,7 +36,10 @@
 
 
 class Responder(Protocol):
-    """Sends the final answer of one job to its client."""
+    """The connection of one job's client, to which the final answer is sent."""
+
+    def detect_disconnect(self) -> bool:
+        """Return whether the client has disconnected, which is then reported like any disconnect."""
 
     def respond(self, answer: FinalAnswer) -> None:
         """Send the final answer; called at most once."""
--- a/burlmoor/simulation/node.py
+++ b/burlmoor/simulation/node.py
@@ -35,6 +35,10 @@
     record: ClientRecord
     events: EventQueue
 
+    def detect_disconnect(self) -> bool:
+        """Return False: the simulation reports each disconnect when it occurs."""
+        return False
+
     def respond(self, answer: FinalAnswer) -> None:
         """Record an answer."""
         self.record.answers.append(AnswerRecord(self.events.now, answer))
--- a/burlmoor/transport/stream.py
+++ b/burlmoor/transport/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 import struct
 from contextlib import suppress
@@ -15,6 +16,7 @@
 
 _RECEIVE_BYTES = 16384
 _DISCARD_PAUSE_SECONDS = 0.05  # between reads once a peer has exceeded the discard limit
+_PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # Values of SO_LINGER, which apply when the socket is closed, also by the end of the process.
 _LINGER_OFF = struct.pack("ii", 0, 0)  # the kernel delivers the written bytes, then closes the connection
 _LINGER_RESET = struct.pack("ii", 1, 0)  # the kernel discards undelivered bytes and sends a reset
@@ -80,12 +82,14 @@
                 return result is ReceiveResult.DATA
 
     def receive_now(self) -> ReceiveResult:
-        """Append available bytes to the inbound buffer, which must have free space, without waiting.
+        """Append available bytes to the inbound buffer, as far as it has free space, without waiting.
 
         Raises:
             StreamClosedError: this side has closed the stream.
             OSError: the connection broke.
         """
+        if not self.inbound.free_space:
+            return ReceiveResult.NOTHING
         try:
             data = self._open_socket().recv(min(_RECEIVE_BYTES, self.inbound.free_space))
         except (BlockingIOError, InterruptedError):
@@ -98,7 +102,8 @@
     async def discard_until_end(self, max_bytes: int) -> None:
         """Read and discard bytes until the peer shuts down its sending side.
 
-        Bytes beyond `max_bytes` are read slowly, so that a peer that never stops sending costs little.
+        Bytes beyond `max_bytes` are read slowly, so that a peer that never stops sending costs little; those
+        of a peer that has closed the connection are not read.
 
         Raises:
             StreamClosedError: this side has closed the stream.
@@ -118,6 +123,23 @@
             remaining_bytes -= count
             if remaining_bytes < 0:
                 await trio.sleep(_DISCARD_PAUSE_SECONDS)
+                if self.has_peer_closed():
+                    return
+
+    def discard_available(self, max_bytes: int) -> None:
+        """Read and discard the bytes that have arrived, without waiting, until over `max_bytes` are read.
+
+        Raises:
+            StreamClosedError: this side has closed the stream.
+            OSError: the connection broke.
+        """
+        remaining_bytes = max_bytes
+        with suppress(BlockingIOError, InterruptedError):
+            while remaining_bytes >= 0:
+                count = self._open_socket().recv_into(_DISCARD_BUFFER)
+                if not count:
+                    return
+                remaining_bytes -= count
 
     def send(self, data: bytes) -> None:
         """Write as many bytes as the kernel accepts now, and buffer the rest.
@@ -170,6 +192,20 @@
                 self._drain_ended.set()
                 self._drain_ended = None
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has shut down its sending side or reset the connection.
+
+        A read shows that only after all bytes before it.
+        """
+        if self._sock is None:
+            return False
+        poller = select.poll()
+        try:
+            poller.register(self._sock, _PEER_CLOSED_EVENTS)
+            return any(events & _PEER_CLOSED_EVENTS for _, events in poller.poll(0))
+        except OSError:
+            return False
+
     def is_open_and_idle(self) -> bool:
         """Return whether the connection is open and idle: no bytes from the peer are pending."""
         try:
--- a/burlmoor/upstream/send_precondition.py
+++ b/burlmoor/upstream/send_precondition.py
@@ -41,6 +41,9 @@
     """
     if attempt.is_over or attempt.job.is_closed:
         raise SendPreconditionError(attempt, "the job is closed or the attempt is over")
+    responder = attempt.job.responder
+    if responder is not None and responder.detect_disconnect():
+        raise SendPreconditionError(attempt, "the client has disconnected")
     endpoint = directory.find_live(attempt.endpoint)
     if endpoint is None:
         raise SendPreconditionError(attempt, "the endpoint is not live")
--- a/tests/support/engine_harness.py
+++ b/tests/support/engine_harness.py
@@ -24,6 +24,9 @@
     def __init__(self) -> None:
         self.answers: list[FinalAnswer] = []
 
+    def detect_disconnect(self) -> bool:
+        return False
+
     def respond(self, answer: FinalAnswer) -> None:
         self.answers.append(answer)
 
--- a/tests/upstream/test_send_precondition.py
+++ b/tests/upstream/test_send_precondition.py
@@ -17,6 +17,7 @@
     check_send_precondition,
     recheck_send_precondition,
 )
+from tests.support.engine_harness import RecordingResponder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,6 +69,17 @@
     scenario.attempt.outcome = Outcome.CANCELLED
 
 
+class DisconnectedResponder(RecordingResponder):
+    """The connection of a client that has disconnected."""
+
+    def detect_disconnect(self) -> bool:
+        return True
+
+
+def disconnect(scenario: Scenario) -> None:
+    scenario.job.responder = DisconnectedResponder()
+
+
 def drain(scenario: Scenario) -> None:
     scenario.publish("leaving")
 
@@ -91,7 +103,7 @@
     recheck_send_precondition(scenario.attempt, scenario.directory, endpoint)
 
 
-@pytest.mark.parametrize("change", [end_job, end_attempt, drain, remove, disable])
+@pytest.mark.parametrize("change", [end_job, end_attempt, disconnect, drain, remove, disable])
 def test_a_change_before_or_during_the_connect_stops_the_attempt(
     change: Callable[[Scenario], None],
 ) -> None:
