Refuse the id of a recent job that may have run

What callers saw: an id that came again after its client had left ran twice. Cause: an id was in use only while its job was registered; a job whose client has left is removed once its attempts are cancelled, although an executor may have run it. An id whose job provably did not run may come again, as before. One test submitted two jobs with one id and now gives the second its own; same expectations.

--- a/burlmoor/engine/core.py
+++ b/burlmoor/engine/core.py
@@ -42,7 +42,7 @@
         self.counters = EventCounters()
         self.invariants = InvariantMonitor(log)
         self.job_log = JobLog(log, self.counters)
-        self.jobs = JobRegistry(self.job_log)
+        self.jobs = JobRegistry(self.job_log, clock)
         self.deadlines = DeadlineQueue(settings.classes)
         self.dispatcher = Dispatcher(settings, seed)
         self.policy = PolicyDriver(self.dispatcher, self.jobs, log, wake)
--- a/burlmoor/engine/job_registry.py
+++ b/burlmoor/engine/job_registry.py
@@ -4,18 +4,21 @@
 
 from typing import TYPE_CHECKING
 
+from burlmoor.engine.recent_ids import RecentIds
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from burlmoor.engine.job import Attempt, Job
     from burlmoor.engine.job_log import JobLog
 
 
 class JobRegistry:
-    """Stores each job until it is closed and all its attempts have ended."""
+    """Stores each job until it is closed and all its attempts have ended. `clock` returns ms."""
 
-    def __init__(self, job_log: JobLog) -> None:
+    def __init__(self, job_log: JobLog, clock: Callable[[], float]) -> None:
         self._job_log = job_log
+        self._recent_ids = RecentIds(clock)  # of removed jobs that may have run
         self._ids_in_other_process: set[str] = set()  # admitted by another process of this node
         self._by_number: dict[int, Job] = {}
         self._by_id: dict[str, Job] = {}
@@ -25,8 +28,16 @@
         return iter(self._by_number.values())
 
     def is_id_in_use(self, request_id: str) -> bool:
-        """Return whether this process or another one of this node has a job with this id."""
-        return request_id in self._by_id or request_id in self._ids_in_other_process
+        """Return whether this node has a job with this id, or recently had one that may have run.
+
+        Each request has an id of its own, so one that comes again is not another request, and a job that may
+        have run must not run a second time.
+        """
+        return (
+            request_id in self._by_id
+            or request_id in self._ids_in_other_process
+            or request_id in self._recent_ids
+        )
 
     def add_ids_in_other_process(self, request_ids: Iterable[str]) -> None:
         """Mark as in use the ids of jobs that another process of this node has admitted."""
@@ -66,6 +77,8 @@
             return
         if self._by_number.pop(job.number, None) is not None:
             del self._by_id[job.id]
+            if job.may_have_run():
+                self._recent_ids.add(job.id)
             self._job_log.on_job_removed(job)
 
     def ids(self) -> list[str]:
--- a/tests/engine/test_job_log.py
+++ b/tests/engine/test_job_log.py
@@ -86,6 +86,7 @@
     counters = harness.core.counters
     assert counters.take_increments() == {"jobs": {"served": 1}}
     assert counters.take_increments() == {}
-    _, attempt = harness.submit_and_start()
-    harness.core.lifecycle.on_client_disconnected(attempt.job)
+    _, job = harness.submit(request_id="a2")
+    harness.advance(60.0)
+    harness.core.lifecycle.on_client_disconnected(job)
     assert counters.take_increments() == {"jobs": {"none: client-disconnected": 1}}
