Share the ids of admitted jobs between the processes of a handover at any time

What callers saw: an id ran once at each process of an upgrade. Cause: the new process knew the ids that were open when it got the old one's state, and those admitted after the handover, but none admitted between, none of jobs that were over, and forgot all when the old process ended. The old one knew none of the new one's. Change: the state includes the ids of recent jobs; from then on both processes notify each other of each admitted job (the message Opened, as before), a process between two others passes it on, and the old process's ids stay in use for a while after it ended.

--- a/burlmoor/downstream/interfaces.py
+++ b/burlmoor/downstream/interfaces.py
@@ -21,9 +21,6 @@
         accepted.
         """
 
-    def on_job_admitted(self, request_id: str) -> None:
-        """Record that this process has admitted a job after the handover."""
-
 
 class CallbackForwarder(Protocol):
     """Forwards call-backs to the node's other processes."""
@@ -35,6 +32,13 @@
         """
 
 
+class AdmissionObserver(Protocol):
+    """Notifies the node's other processes of admitted jobs."""
+
+    def on_job_admitted(self, request_id: str) -> None:
+        """Handle that this process has admitted a job."""
+
+
 class RunConditionParser(Protocol):
     """Parses the headers of a job submission that state when the job may run."""
 
--- a/burlmoor/downstream/request_handler.py
+++ b/burlmoor/downstream/request_handler.py
@@ -118,10 +118,10 @@
         return response
 
     def on_job_admitted(self, job: Job) -> None:
-        """Count the client as waiting, and tell the successor process of the job."""
+        """Count the client as waiting, and notify the node's other processes of the job."""
         self._connections.on_client_waiting()
-        if self._peers.successor is not None:
-            self._peers.successor.on_job_admitted(job.id)
+        if self._peers.admission_observer is not None:
+            self._peers.admission_observer.on_job_admitted(job.id)
 
     def on_job_answered(self, answer: FinalAnswer) -> Response:
         """Stop counting the client as waiting, and return the response to its submission."""
--- a/burlmoor/engine/job_registry.py
+++ b/burlmoor/engine/job_registry.py
@@ -43,10 +43,16 @@
         """Mark as in use the ids of jobs that another process of this node has admitted."""
         self._ids_in_other_process.update(request_ids)
 
-    def clear_ids_in_other_process(self) -> None:
-        """Remove the ids of the other process, which has ended."""
+    def on_other_process_ended(self) -> None:
+        """Treat the jobs of the other process, which has ended, as recent jobs that may have run."""
+        for request_id in self._ids_in_other_process:
+            self._recent_ids.add(request_id)
         self._ids_in_other_process.clear()
 
+    def add_recent_id(self, request_id: str) -> None:
+        """Mark as in use for some time the id of a job that a successor has admitted."""
+        self._recent_ids.add(request_id)
+
     def next_number(self) -> int:
         """Return a number that no job of this process has had."""
         self._last_number += 1
@@ -85,6 +91,10 @@
         """Return the request ids of all stored jobs, including closed ones with open attempts."""
         return list(self._by_id)
 
+    def ids_in_use(self) -> list[str]:
+        """Return all request ids for which `is_id_in_use` holds."""
+        return list({*self._by_id, *self._ids_in_other_process, *self._recent_ids.ids()})
+
     def count_open(self) -> int:
         """Return how many jobs have no final answer yet."""
         return sum(not job.is_closed for job in self._by_number.values())
--- a/burlmoor/lifecycle/handover.py
+++ b/burlmoor/lifecycle/handover.py
@@ -154,11 +154,12 @@
         match message:
             case Hello(version):
                 self._predecessor_role.send_snapshot(channel, version)
+                self._update_admission_observer()
             case Accepting() if channel is self._predecessor_role.successor_channel:
                 self._predecessor_role.hand_over(channel)
                 self._update_callback_forwarder()
             case JobOpened(request_id):
-                self._core.jobs.add_ids_in_other_process((request_id,))
+                self._on_job_opened(channel, request_id)
             case ApplyOverride(number, path, name):
                 self._admin.apply_forwarded_override(path, name)
                 channel.send(Acknowledged(number))
@@ -172,6 +173,7 @@
             case Snapshot():
                 self._successor_role.on_snapshot(message)
                 self._update_callback_forwarder()
+                self._update_admission_observer()
             case ConnectionCounts(downstream, upstream):
                 self._successor_role.on_connection_counts(downstream, upstream)
             case PassedConnection(has_been_used, age_seconds) if sock is not None:
@@ -184,6 +186,15 @@
         if channel is self._predecessor_role.successor_channel:
             self._predecessor_role.on_channel_lost()
         self._update_callback_forwarder()
+        self._update_admission_observer()
+
+    def _on_job_opened(self, channel: HandoverChannel, request_id: str) -> None:
+        if channel is self._successor_role.predecessor_channel:
+            self._core.jobs.add_ids_in_other_process((request_id,))
+        else:
+            # A successor may admit jobs for as long as this process runs, so its ids are not kept longer.
+            self._core.jobs.add_recent_id(request_id)
+        self._forwarder.relay_job_opened(channel, request_id)
 
     def _on_forwarded_callback(self, channel: HandoverChannel, number: int, body: bytes) -> None:
         result = callbacks.handle_callback(self._core.jobs, self._core.lifecycle, body)
@@ -195,3 +206,7 @@
     def _update_callback_forwarder(self) -> None:
         forwarder = self._forwarder if self._forwarder.has_peers else None
         self._server.peers.attach_callback_forwarder(forwarder)
+
+    def _update_admission_observer(self) -> None:
+        observer = self._forwarder if self._forwarder.has_peers else None
+        self._server.peers.attach_admission_observer(observer)
--- a/burlmoor/lifecycle/handover_messages.py
+++ b/burlmoor/lifecycle/handover_messages.py
@@ -21,7 +21,10 @@
 
 
 class Snapshot(msgspec.Struct, tag="Snapshot"):
-    """Predecessor to successor: overrides, endpoint list, statistics, open jobs and connection counts."""
+    """Predecessor to successor: overrides, endpoint list, statistics, ids of jobs and connection counts.
+
+    The ids are those of open jobs and of recent ones that may have run.
+    """
 
     overrides: Overrides = msgspec.field(name="by_hand")
     endpoints: DiscoveredList | None = msgspec.field(name="hosts")
@@ -43,7 +46,7 @@
 
 
 class JobOpened(msgspec.Struct, tag="Opened"):
-    """Predecessor to successor: it admitted a job whose request it had partly read before the handover."""
+    """In either direction: the sender admitted a job since the `Snapshot`, or was notified of one."""
 
     request_id: str = msgspec.field(name="id")
 
--- a/burlmoor/lifecycle/handover_predecessor.py
+++ b/burlmoor/lifecycle/handover_predecessor.py
@@ -10,7 +10,6 @@
 from burlmoor.lifecycle.handover_messages import (
     PROTOCOL_VERSION,
     ConnectionCounts,
-    JobOpened,
     PassedConnection,
 )
 from burlmoor.log_events import HandoverCompleted, HandoverReverted
@@ -119,11 +118,6 @@
         if self._channel is None or not self._channel.send(message, sock):
             self._server.serve_connection(sock, has_been_used=has_been_used, age_seconds=age_seconds)
 
-    def on_job_admitted(self, request_id: str) -> None:
-        """Notify the successor of a job that was admitted here after the handover."""
-        if self._channel is not None:
-            self._channel.send(JobOpened(request_id))
-
     def on_channel_lost(self) -> None:
         """Resume accepting if the successor has ended after taking over."""
         self._channel = None
--- a/burlmoor/lifecycle/handover_successor.py
+++ b/burlmoor/lifecycle/handover_successor.py
@@ -74,10 +74,10 @@
     def on_channel_lost(self) -> None:
         """Continue without the predecessor, which has ended or does not answer.
 
-        Apply the node's full limits and forget the predecessor's jobs.
+        Apply the node's full limits; the ids of the predecessor's jobs stay in use for some time.
         """
         self._channel = None
-        self._jobs.clear_ids_in_other_process()
+        self._jobs.on_other_process_ended()
         self._limits.reserve(0, 0)
         self._has_snapshot.set()
         self._has_counts.set()
--- a/burlmoor/lifecycle/peer_forwarder.py
+++ b/burlmoor/lifecycle/peer_forwarder.py
@@ -1,10 +1,15 @@
-"""Forwards call-backs and overrides to the node's other processes, and waits for acknowledgements."""
+"""Forwards call-backs, overrides and the ids of admitted jobs to the node's other processes."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from burlmoor.lifecycle.handover_messages import Acknowledged, ApplyOverride, ForwardedCallback
+from burlmoor.lifecycle.handover_messages import (
+    Acknowledged,
+    ApplyOverride,
+    ForwardedCallback,
+    JobOpened,
+)
 
 if TYPE_CHECKING:
     from burlmoor.admin.requests import AdminRequest
@@ -20,7 +25,8 @@
 class PeerForwarder:
     """Forwards to the predecessor and the successor, whichever are connected.
 
-    The downstream server uses it as its `CallbackForwarder` while at least one of them is connected.
+    The downstream server uses it as its `CallbackForwarder` and `AdmissionObserver` while at least one of
+    them is connected.
     """
 
     def __init__(self, successor_role: SuccessorRole, predecessor_role: PredecessorRole) -> None:
@@ -53,6 +59,15 @@
         if await _forward_to(others, body, _RELAYED_CALLBACK_TIMEOUT_SECONDS):
             sender.send(Acknowledged(number))
 
+    def on_job_admitted(self, request_id: str) -> None:
+        """Notify the other processes of a job that was admitted here, so that they refuse its id."""
+        self.relay_job_opened(None, request_id)
+
+    def relay_job_opened(self, sender: HandoverChannel | None, request_id: str) -> None:
+        """Notify the processes other than the sender of an admitted job."""
+        for channel in self._connected_channels(excluded=sender):
+            channel.send(JobOpened(request_id))
+
     async def forward_override(self, call: AdminRequest) -> None:
         """Forward an override to the other processes, so that it applies to the whole node."""
         for channel in self._connected_channels():
--- a/burlmoor/lifecycle/state_transfer.py
+++ b/burlmoor/lifecycle/state_transfer.py
@@ -1,4 +1,4 @@
-"""Passes state to a successor: overrides, endpoint list, statistics and the ids of open jobs."""
+"""Passes state to a successor: overrides, endpoint list, statistics and the ids of jobs."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
             overrides=self._admin.overrides,
             endpoints=self._directory.snapshot(),
             statistics=self._core.dispatcher.take_statistics_snapshot(self._core.clock()),
-            job_ids=self._core.jobs.ids(),
+            job_ids=self._core.jobs.ids_in_use(),
             downstream_connections=len(self._server.connections),
             upstream_connections=self._pool.open_count,
         )
--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -186,12 +186,16 @@
         old = await harness.start_process()
         await old.wait_ready()
         await submit_and_leave(harness, "before")
+        harness.is_discovery_silent = True
         call_count = len(harness.discovery_paths)
         new = await harness.start_process()
         # It calls discovery once it has the old process's state; the old one serves until it is answered.
         await harness.wait_until(lambda: len(harness.discovery_paths) > call_count)
         await submit_and_leave(harness, "meanwhile")
-        partial, _ = await open_recent_connections(harness, new)
+        partial = await harness.connect_client()
+        await partial.socket_stream.send_all(b"POST /once/0f HTTP/1.1\r\nHost: svc\r\nRequest-Id: a3\r\n")
+        await harness.publish(4, e0="active", e1="active")
+        await new.wait_ready()
         for request_id in ("before", "meanwhile"):
             await assert_id_refused(harness, await harness.connect_client(), request_id)
         # The job `a3`, whose request the old process has read in part, is admitted by the new one.
--- a/tests/support/handover_harness.py
+++ b/tests/support/handover_harness.py
@@ -97,7 +97,6 @@
         self._acknowledgements = acknowledgements or []
         self.callbacks: list[bytes] = []
         self.connections: list[tuple[socket.socket, bool]] = []
-        self.opened_jobs: list[str] = []
 
     async def forward_callback(self, body: bytes) -> bool:
         self.callbacks.append(body)
@@ -105,6 +104,3 @@
 
     def pass_connection(self, sock: socket.socket, *, has_been_used: bool, age_seconds: float) -> None:
         self.connections.append((sock, has_been_used))
-
-    def on_job_admitted(self, request_id: str) -> None:
-        self.opened_jobs.append(request_id)
