Write the unread responses of a connection with one task

Cause: each response that the kernel did not accept at once started a task, up to 128 KiB of small responses for each connection. Change: a task is started only if none writes.

--- a/burlmoor/downstream/accepted_socket.py
+++ b/burlmoor/downstream/accepted_socket.py
@@ -52,6 +52,7 @@
         self.scope = trio.CancelScope()  # cancels the task that reads
         self.accepted_at = trio.current_time() - age_seconds
         self._close_reason: CloseReason | None = None
+        self._is_draining = False  # whether a task writes the rest of the responses
         self._nursery = nursery
         self._log = log
         self._counters = counters
@@ -77,7 +78,8 @@
             self.record_close_reason(CloseReason.BROKEN)
             self.scope.cancel()
             return False
-        if self.stream.outbound:
+        if self.stream.outbound and not self._is_draining:
+            self._is_draining = True
             self._nursery.start_soon(self._drain_output)
         return True
 
@@ -91,6 +93,8 @@
             # An uncaught error would cancel the nursery and stop the node.
             self.on_error(error)
             self.scope.cancel()
+        finally:
+            self._is_draining = False
 
     async def flush_and_linger(self, *, may_have_unread_input: bool, has_rejected_body: bool) -> None:
         """Write the rest of the last response, and give the client time to read it.
