Answer a call-back that is nested too deeply with 400

What callers saw: an executor whose call-back has thousands of nested lists got no answer and repeated it, each time with an internal error in the log. Cause: msgspec raises RecursionError for it, also in a field that is ignored. Change: such a body is invalid like any that can't be decoded. Other decoders of input from outside: the discovery client and the admin server handle any error as a failed call. Result: test_invalid_input_closes_only_its_own_connection has the case, which failed before.

--- a/burlmoor/downstream/callbacks.py
+++ b/burlmoor/downstream/callbacks.py
@@ -58,7 +58,7 @@
     """
     try:
         event = _DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return CallbackResult.INVALID
     attempt = jobs.find_attempt(event.id, event.endpoint_name)
     if attempt is None:
--- a/tests/integration/test_downstream_connections.py
+++ b/tests/integration/test_downstream_connections.py
@@ -20,7 +20,10 @@
             await client.socket_stream.send_all(data)
             assert (await harness.read_response(client)).status in (400, 413)
             assert await client.read() is None
-        assert await harness.send_callback_body(b"{") == 400
+        # The second one is nested so deeply that the decoder raises an error of another type.
+        deep = b'{"id":"a1","from":"e0","state":"done","x":%s%s}' % (b"[" * 30_000, b"]" * 30_000)
+        for body in (b"{", deep):
+            assert await harness.send_callback_body(body) == 400
         await harness.wait_until(lambda: harness.jobs)
         await harness.send_callback("done", "fine")
         assert (await harness.read_response(valid)).body == b"fine"
