--- a/burlmoor/counters.py
+++ b/burlmoor/counters.py
@@ -18,6 +18,8 @@
     CLIENT_CLOSES = "client-closes"  # connections of clients and call-backs, by reason
     # Connections that were due to be closed until input was found on them, by the reason for closing.
     PREVENTED_CLOSES = "prevented-closes"
+    # Turns of connections that sent more than their allowance (`downstream/excess_input.py`).
+    EXCESS_INPUT = "excess-input"
     ENDPOINT_CLOSES = "endpoint-closes"  # connections to endpoints, by reason
 
 
--- a/burlmoor/downstream/excess_input.py
+++ b/burlmoor/downstream/excess_input.py
@@ -12,9 +12,13 @@
 
 import trio
 
+from burlmoor.counters import CounterGroup
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from burlmoor.counters import EventCounters
+
 # Costs in lines: what the parser does per line of a head or of the chunked encoding.
 _ALLOWANCE_LINES = 256
 _READ_COST_LINES = 4
@@ -23,6 +27,7 @@
 _REQUEST_COST_LINES = 16
 # After a turn none begins for this many times its duration, so that turns take a quarter of the node's time.
 _PAUSE_FACTOR = 3.0
+_TURN = "turns"  # as counted
 _MAX_COUNTED_SECONDS = 0.02  # of a turn, since a turn may also take long because the process is stalled
 
 
@@ -54,13 +59,15 @@
 class ExcessInputTurns:
     """Gives one connection at a time a turn, in the order in which they ask for one."""
 
-    def __init__(self) -> None:
+    def __init__(self, counters: EventCounters) -> None:
         self._lock = trio.Lock()  # trio's locks are fair
+        self._counters = counters
 
     @asynccontextmanager
     async def turn(self) -> AsyncIterator[None]:
         """Wait for a turn; the enclosed code must not suspend."""
         async with self._lock:
+            self._counters.count(CounterGroup.EXCESS_INPUT, _TURN)
             started_at = trio.current_time()
             yield
             duration_seconds = min(trio.current_time() - started_at, _MAX_COUNTED_SECONDS)
--- a/burlmoor/downstream/server.py
+++ b/burlmoor/downstream/server.py
@@ -62,7 +62,7 @@
         self._nursery = nursery
         self._log = log
         self._counters = counters
-        self._excess_input = ExcessInputTurns()
+        self._excess_input = ExcessInputTurns(counters)
         self._drain_observer: DrainObserver | None = None
         self._is_accepting = False
         self._is_closed = False  # the listening socket
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -12,9 +12,10 @@
 from burlmoor.lifecycle.graceful_shutdown import GracefulShutdown
 from burlmoor.lifecycle.handover import Handover
 from burlmoor.lifecycle.node_builder import build_components, state_files
+from burlmoor.lifecycle.peak_memory import peak_memory_mb
 from burlmoor.lifecycle.reload import ConfigReloader
 from burlmoor.lifecycle.stall_monitor import StallMonitor
-from burlmoor.log_events import Counts, EndpointConnections
+from burlmoor.log_events import Counts, EndpointConnections, ProcessUsage
 from burlmoor.transport.sockets import start_listening
 
 if TYPE_CHECKING:
@@ -116,7 +117,12 @@
                 connections = EndpointConnections(
                     open=pool.open_count, idle=pool.idle_count, limit=pool.max_connections
                 )
-                self._log(Counts.from_groups(counts, connections))
+                process = ProcessUsage(
+                    peak_memory_mb=peak_memory_mb(),
+                    clients=len(self.components.server.connections),
+                    jobs=len(self.components.core.jobs.ids()),
+                )
+                self._log(Counts.from_groups(counts, connections, process))
 
     async def handle_signals(self, signals: AsyncIterator[int]) -> None:
         """Reload the configuration on SIGHUP; shut down gracefully on SIGTERM and SIGINT."""
--- a/burlmoor/log_events.py
+++ b/burlmoor/log_events.py
@@ -75,24 +75,37 @@
     limit: int
 
 
+class ProcessUsage(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node's process holds at the time of a `counts` event."""
+
+    peak_memory_mb: int = msgspec.field(name="peak-memory-mb")  # resident, since the process started
+    clients: int  # connections of clients and call-backs
+    jobs: int  # open, or closed with open attempts
+
+
 class Counts(LogEvent, tag="counts", frozen=True, kw_only=True):
     """The counts since the last line of this event, by group and reason."""
 
     endpoint_connections: EndpointConnections = msgspec.field(name="endpoint-connections")
+    process: ProcessUsage
     jobs: dict[str, int] | UnsetType = UNSET
     retries: dict[str, int] | UnsetType = UNSET
     cancels: dict[str, int] | UnsetType = UNSET
     client_closes: dict[str, int] | UnsetType = msgspec.field(name="client-closes", default=UNSET)
     prevented_closes: dict[str, int] | UnsetType = msgspec.field(name="prevented-closes", default=UNSET)
+    excess_input: dict[str, int] | UnsetType = msgspec.field(name="excess-input", default=UNSET)
     endpoint_closes: dict[str, int] | UnsetType = msgspec.field(name="endpoint-closes", default=UNSET)
 
     @classmethod
     def from_groups(
-        cls, groups: Mapping[str, dict[str, int]], endpoint_connections: EndpointConnections
+        cls,
+        groups: Mapping[str, dict[str, int]],
+        endpoint_connections: EndpointConnections,
+        process: ProcessUsage,
     ) -> Counts:
         """Build the event from the counts of each group, by the group's name in the log."""
         fields = {group.replace("-", "_"): counts for group, counts in groups.items()}
-        return cls(endpoint_connections=endpoint_connections, **fields)
+        return cls(endpoint_connections=endpoint_connections, process=process, **fields)
 
 
 class LogDropped(LogEvent, tag="log-dropped", frozen=True, kw_only=True):
