Parse responses of executors and discovery in portions too

The class of the client floods on a related path: by reading, a response in chunks of one byte cost 50 ms for each read of 16 KiB, during which nothing else ran. Change: InputPortions, which the server side had of its own, divides the input of both sides; between two portions of a response other tasks run.

--- a/burlmoor/downstream/http.py
+++ b/burlmoor/downstream/http.py
@@ -15,6 +15,7 @@
 from burlmoor.downstream.requests import InvalidRequest, JobCallback, ParsedRequest, ReadinessCheck
 from burlmoor.engine.deferral import InvalidConditionError
 from burlmoor.errors import BurlmoorError
+from burlmoor.transport.input_portions import InputPortions
 
 if TYPE_CHECKING:
     from burlmoor.downstream.job_headers import JobSubmissionParser
@@ -25,7 +26,6 @@
 CALLBACK_PATH = "/v1/job-events"
 _MAX_HEAD_BYTES = 16384
 _MAX_REASON_LENGTH = 100
-_MAX_PORTION_LINES = 64  # given to h11 in one call, so that a call takes about a millisecond at most
 _CONNECTION_CLOSE = ("Connection", "close")
 _CONTINUE = h11.InformationalResponse(status_code=HTTPStatus.CONTINUE, headers=[])
 _STATUS_NO_CONTENT = HTTPStatus.NO_CONTENT
@@ -62,7 +62,7 @@
         self._head: RequestHead | None = None
         self._body = bytearray()
         self._missing_body_bytes = 0  # of a body with a Content-Length
-        self._unparsed = bytearray()  # received, but not given to h11 yet
+        self._unparsed = InputPortions()  # received, but not given to h11 yet
         self._may_have_buffered_request = False  # whether h11 has input behind the last request
         self.last_line_count = 0
         self.has_open_request = False
@@ -100,36 +100,19 @@
 
         If `has_unparsed_input` then holds, another call without data continues.
         """
-        self._unparsed += data
+        self._unparsed.add(data)
         self.last_line_count = 0
         try:
             request = self._parse_next() if self._may_have_buffered_request else None
             if request is None and self._unparsed:
-                self._http.receive_data(self._take_portion())
+                self._http.receive_data(self._unparsed.take(self._missing_body_bytes))
+                self.last_line_count = self._unparsed.last_line_count
                 request = self._parse_next()
         except h11.RemoteProtocolError as error:
             return self._reject(InvalidRequest(HTTPStatus(error.error_status_hint), str(error)))
         self._may_have_buffered_request = request is not None and bool(self._http.trailing_data[0])
         return request
 
-    def _take_portion(self) -> bytes:
-        """Remove and return the input to parse next: of a known body all of it, else a number of lines."""
-        end = self._missing_body_bytes or self._find_line_end()
-        portion = bytes(self._unparsed[:end])
-        del self._unparsed[:end]
-        return portion
-
-    def _find_line_end(self) -> int:
-        """Return the end of the last line of a portion, or the end of the input."""
-        end = 0
-        while self.last_line_count < _MAX_PORTION_LINES:
-            newline = self._unparsed.find(b"\n", end)
-            if newline < 0:
-                return len(self._unparsed)
-            end = newline + 1
-            self.last_line_count += 1
-        return end
-
     def _parse_next(self) -> ParsedRequest | None:
         while True:
             event = self._http.next_event()
--- a/burlmoor/upstream/connection.py
+++ b/burlmoor/upstream/connection.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Protocol
 
+import trio
+
 from burlmoor.types.reasons import CloseReason
 from burlmoor.upstream.errors import BrokenResponseError, RequestIncompleteError
 from burlmoor.upstream.http import HttpClientConnection, Response
@@ -65,15 +67,27 @@
         Raises:
             BrokenResponseError: the connection ended first, or the bytes are not a valid response.
         """
-        while True:
-            try:
-                has_received = await self._stream.receive()
-            except OSError as error:
-                raise BrokenResponseError(str(error)) from error
-            response = self._http.receive(self._stream.inbound.read_all() if has_received else b"")
-            if response is not None:
-                self._has_open_request = False
-                return response
+        response: Response | None = None
+        while response is None:
+            if self._http.has_unparsed_input:
+                await trio.lowlevel.checkpoint()  # other connections have a turn
+                response = self._http.parse_portion()
+            else:
+                response = self._http.receive(await self._receive())
+        self._has_open_request = False
+        return response
+
+    async def _receive(self) -> bytes:
+        """Return bytes of the response, none if the peer has closed the connection.
+
+        Raises:
+            BrokenResponseError: the connection broke.
+        """
+        try:
+            has_received = await self._stream.receive()
+        except OSError as error:
+            raise BrokenResponseError(str(error)) from error
+        return self._stream.inbound.read_all() if has_received else b""
 
     async def exchange(self, method: bytes, path: bytes) -> Response:
         """Write a request without a body and read its response; close the connection on any error.
--- a/tests/upstream/test_http.py
+++ b/tests/upstream/test_http.py
@@ -65,3 +65,18 @@
     http = connection_after_request()
     with pytest.raises(BrokenResponseError):
         receive_to_the_end(http, data)
+
+
+def test_a_response_in_chunks_of_one_byte_is_parsed_in_portions() -> None:
+    # Guards against a response that occupies the event loop: each chunk costs as much as a large one.
+    http = connection_after_request()
+    chunks = b"1\r\nx\r\n" * 900
+    response = http.receive(b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n")
+    portion_count = 1
+    while response is None:
+        assert http.has_unparsed_input
+        response = http.parse_portion()
+        portion_count += 1
+    assert response.body == b"x" * 900
+    assert portion_count > 900 / 64
+    assert http.prepare_next_request()
