Let the soak flood nodes with input

No drill had a client that sends more than one request at a time: floods of connections were idle, and all other clients keep to the protocol. Change: fault kind flood: a client with 8 connections writes call-backs without waiting, single bytes, or heads of thousands of short fields, in half of the soak's runs at a fifth of the nodes; it excuses nothing. The tests of client floods use the same client.

--- a/burlmoor/testbed/drill_soak.py
+++ b/burlmoor/testbed/drill_soak.py
@@ -81,6 +81,7 @@
         "nodes restarted": float(fault_counts[FaultKind.NODE_RESTART]),
         "nodes killed in a restart": float(fault_counts[FaultKind.RESTART_KILL]),
         "nodes crowded": float(fault_counts[FaultKind.CONNECTION_FLOOD]),
+        "nodes flooded with input": float(fault_counts[FaultKind.INPUT_FLOOD]),
         "faults": float(len(record.plan.schedule.faults)),
     }
     return Verdict(
--- a/burlmoor/testbed/fleet/fault_kinds.py
+++ b/burlmoor/testbed/fleet/fault_kinds.py
@@ -27,6 +27,7 @@
     NODE_RESTART = "restart"  # SIGTERM, `magnitude` more signals, then SIGKILL as early as the platform may
     NODE_RELOAD = "reload"  # SIGHUP, `magnitude` times in a row
     CONNECTION_FLOOD = "crowd"  # `magnitude` idle clients
+    INPUT_FLOOD = "flood"  # a client with `magnitude` connections that writes without pause; excuses nothing
     # `magnitude` clients that each send a job on their open connection from time to time.
     PERSISTENT_CLIENTS = "clients"
     # Stopped repeatedly, for `magnitude` ms at most; excuses nothing.
@@ -71,6 +72,7 @@
     FaultKind.CONNECTION_FLOOD,
     FaultKind.PERSISTENT_CLIENTS,
     FaultKind.NODE_STALLS,
+    FaultKind.INPUT_FLOOD,
 )
 EXECUTOR_FAULTS = (
     FaultKind.EXECUTOR_KILL,
--- a/burlmoor/testbed/fleet/node_faults.py
+++ b/burlmoor/testbed/fleet/node_faults.py
@@ -1,4 +1,4 @@
-"""Injects faults of node processes: kills, pauses, restarts, reloads and connection floods."""
+"""Injects faults of node processes: kills, pauses, restarts, reloads and floods."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 from burlmoor.testbed.clock import now_ms
 from burlmoor.testbed.event_record import RequestRecord
-from burlmoor.testbed.fleet import persistent_clients
+from burlmoor.testbed.fleet import input_flood, persistent_clients
 from burlmoor.testbed.fleet.addresses import Ports, node_address
 from burlmoor.testbed.fleet.child_process import ChildProcess, ProcessError
 from burlmoor.testbed.fleet.connection_flood import ConnectionFlood
@@ -55,6 +55,7 @@
         self._folder = folder
         self._rng = random.Random(record.plan.seed)
         self._stall_rng = random.Random(f"{record.plan.seed}:stalls")
+        self._flood_rng = random.Random(f"{record.plan.seed}:floods")
         self._paused: set[int] = set()
 
     async def inject(self, fault: Fault, number: int) -> None:
@@ -71,7 +72,7 @@
                 await self._restart(fault, number)
             case FaultKind.NODE_RELOAD:
                 await self._reload(fault, number)
-            case FaultKind.CONNECTION_FLOOD:
+            case FaultKind.CONNECTION_FLOOD | FaultKind.INPUT_FLOOD:
                 await self._flood(fault, number)
             case FaultKind.PERSISTENT_CLIENTS:
                 await self._run_persistent_clients(fault, number)
@@ -140,12 +141,28 @@
             await trio.sleep(_RELOAD_PAUSE_SECONDS)
 
     async def _flood(self, fault: Fault, number: int) -> None:
-        """Take up a node's connections with idle clients."""
+        """Take up a node's connections with idle clients, or flood it with input."""
         interval = self._begin(fault, number)
-        flood = ConnectionFlood((node_address(number), self._ports.node_http), int(fault.magnitude))
-        await flood.run(fault.duration)
+        if fault.kind is FaultKind.INPUT_FLOOD:
+            await self._flood_with_input(fault, number)
+        else:
+            flood = ConnectionFlood((node_address(number), self._ports.node_http), int(fault.magnitude))
+            await flood.run(fault.duration)
         interval.end_ms = now_ms()
 
+    async def _flood_with_input(self, fault: Fault, number: int) -> None:
+        """Flood a node with input of a kind that is drawn."""
+        kind = self._flood_rng.choice(input_flood.KINDS_WITHOUT_JOBS)
+        address = [node_address(number), str(self._ports.node_http)]
+        process = ChildProcess(
+            ["-m", input_flood.__name__, kind, *address, str(int(fault.magnitude)), str(fault.duration)],
+            self._folder / "input-flood.log",
+        )
+        try:
+            await sleep_until(self._record, fault.end)
+        finally:
+            await process.kill()
+
     async def _run_persistent_clients(self, fault: Fault, number: int) -> None:
         """Let persistent clients use a node, and add their requests to the record.
 
--- a/burlmoor/testbed/fleet/random_schedule.py
+++ b/burlmoor/testbed/fleet/random_schedule.py
@@ -42,6 +42,8 @@
 _PERSISTENT_CLIENTS = 80.0  # more than the node keeps idle connections for
 _MAX_STALL_MS = 150.0  # for which the rules allow a node to stall between two steps
 _CLIENTS_FLOOD_PROBABILITY = 0.5  # for each run
+_INPUT_FLOOD_PROBABILITY = 0.5  # for each run
+_INPUT_FLOOD_CONNECTIONS = 8.0
 
 
 class _Parameters(TypedDict, total=False):
@@ -112,13 +114,28 @@
 
 
 def draw_soak_schedule(seed: int, seconds: float) -> FaultSchedule:
-    """Draw overlapping faults, restarts, reloads and, in some runs, slow links and connection floods."""
+    """Draw overlapping faults, restarts, reloads and, in some runs, slow links and floods."""
     schedule = draw_overlapping_schedule(seed, seconds)
     generator = _FaultSeriesGenerator(random.Random(f"{seed}:series"), _faulted_seconds(seconds))
     series = (*generator.draw_restarts(), generator.draw_reloads(), *generator.draw_slow_links())
     floods = generator.draw_connection_floods()
     clients = _PersistentClientsGenerator(random.Random(f"{seed}:crowds"), _faulted_seconds(seconds)).draw()
-    return FaultSchedule(seed, (*schedule.faults, *series, *floods, *clients))
+    input_floods = _draw_input_floods(random.Random(f"{seed}:floods"), _faulted_seconds(seconds))
+    return FaultSchedule(seed, (*schedule.faults, *series, *floods, *clients, *input_floods))
+
+
+def _draw_input_floods(rng: random.Random, end: float) -> list[Fault]:
+    """Draw, in some runs, a client that floods some nodes with input."""
+    if rng.random() >= _INPUT_FLOOD_PROBABILITY:
+        return []
+    flood = Fault(
+        kind=FaultKind.INPUT_FLOOD,
+        start=rng.uniform(_FIRST_START_SECONDS, 0.5 * end),
+        duration=rng.uniform(2.0, 0.5 * end),
+        nodes="20%",
+        magnitude=_INPUT_FLOOD_CONNECTIONS,
+    )
+    return [_round_times(flood)]
 
 
 def _faulted_seconds(seconds: float) -> float:
--- a/tests/testbed/fleet/test_faults.py
+++ b/tests/testbed/fleet/test_faults.py
@@ -94,5 +94,5 @@
 
 def test_stored_names_of_fault_kinds_are_stable() -> None:
     words = "cut delay drop reset stall throttle corrupt repeat reorder kill stop term restart reload crowd"
-    words += " clients stalls die drain still slow fail vanish late down crowded silent broken isolate"
+    words += " clients stalls flood die drain still slow fail vanish late down crowded silent broken isolate"
     assert " ".join(SCHEDULED_FAULTS) == words
