Let four short reads of a request pass without a turn

By reading: a head and its body that came in two short reads used up the allowance of a connection, so that call-backs of busy executors could have waited for turns. Change: an allowance of 320 lines, 64 for a short read.

--- a/burlmoor/downstream/excess_input.py
+++ b/burlmoor/downstream/excess_input.py
@@ -20,9 +20,9 @@
     from burlmoor.counters import EventCounters
 
 # Costs in lines: what the parser does per line of a head or of the chunked encoding.
-_ALLOWANCE_LINES = 256
+_ALLOWANCE_LINES = 320  # four short reads: clients and executors may write a head and its body in pieces
 _READ_COST_LINES = 4
-_SHORT_READ_COST_LINES = 128  # such reads cost the event loop much for what they bring
+_SHORT_READ_COST_LINES = 64  # such reads cost the event loop much for what they bring
 _SHORT_READ_BYTES = 512
 _REQUEST_COST_LINES = 16
 # After a turn none begins for this many times its duration, so that turns take a quarter of the node's time.
