--- a/review/standins_2/wire.py
+++ b/review/standins_2/wire.py
@@ -93,12 +93,20 @@
 
 
 async def serve(handle: Handler, port: int = 0) -> asyncio.Server:
-    """Serve requests on loopback; `handle` returns the bytes of a response, or None to say nothing more."""
+    """Serve requests on loopback.
+
+    `handle` returns the bytes of a response, or None to say nothing more; it raises ConnectionAbortedError to
+    reset the connection.
+    """
 
     async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError):
             while (request := await read_message(reader)) is not None:
-                response = await handle(request)
+                try:
+                    response = await handle(request)
+                except ConnectionAbortedError:
+                    writer.transport.abort()
+                    return
                 if response is None:
                     break
                 writer.write(response)
