--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -37,6 +38,9 @@
 
 
 async def _play(script: Callable[[Case], Awaitable[None]], case: Case) -> None:
+    this_task = asyncio.current_task()
+    if this_task is not None:  # a case that is told to end, ends its nodes first
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
     try:
         async with asyncio.timeout(_TIME_LIMIT_SECONDS):
             await script(case)
@@ -58,7 +62,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             asyncio.run(_play(script, Case(record, Path(temporary))))
         violations = find_violations(record)
-    except (CaseError, OSError, TimeoutError) as error:
+    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
     for violation in violations:
