--- a/review/standins_2/discovery.py
+++ b/review/standins_2/discovery.py
@@ -1,4 +1,4 @@
-"""A stand-in of the discovery service: the whole list, watches, outages, and a queue that is too long.
+"""A stand-in of the discovery service: the whole list, watches, silent watches and outages.
 
 Each node calls it at an address of its own, and its lists hold that node's addresses of the executors.
 """
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -18,20 +17,14 @@
 
     from standins_2.record import Record
 
-QUEUE_TIMEOUT_SECONDS = 2.0  # a call that has waited this long in the queue fails
 _PATH = "/registry/instances"
 
 
 class Discovery:
-    """Serves one versioned list.
-
-    While it is down, each call fails with 503; while it is crowded, after the call has waited in the queue.
-    """
+    """Serves one versioned list. While `is_down`, each call fails with 503."""
 
     def __init__(self, record: Record) -> None:
-        self._is_down = False
-        self._is_crowded = False
-        self._reset_count = 0  # of resets of all open watches
+        self.is_down = False
         self._silences_next_watch = False
         self._watch_fell_silent = asyncio.Event()
         self._record = record
@@ -86,28 +79,14 @@
 
     def set_down(self, *, is_down: bool) -> None:
         """Begin or end an outage."""
-        self._is_down = is_down
+        self.is_down = is_down
         self._record.add("discovery is down" if is_down else "discovery is back")
 
-    def set_crowded(self, *, is_crowded: bool) -> None:
-        """Begin or end a time in which calls wait too long in the queue."""
-        self._is_crowded = is_crowded
-        self._record.add("discovery is crowded" if is_crowded else "discovery is not crowded any more")
-
-    async def reset_watches(self) -> None:
-        """Reset the connections of all open watches."""
-        async with self._changed:
-            self._reset_count += 1
-            self._record.add("watches reset")
-            self._changed.notify_all()
-
     async def _handle(self, node: str, request: Message) -> bytes | None:
         url = urlsplit(request.first_line[1])
         if url.path != _PATH:
             return encode_response(404)
-        if self._is_crowded:
-            await asyncio.sleep(QUEUE_TIMEOUT_SECONDS)
-        if self._is_crowded or self._is_down:
+        if self.is_down:
             self._record.add("call failed", node=node, call=request.first_line[1])
             return encode_response(503)
         query = parse_qs(url.query)
@@ -126,14 +105,11 @@
         return encode_response(200, json.dumps(answer).encode())
 
     async def _changes(self, node: str, after: int, wait_ms: float) -> dict[str, Any]:
-        resets_before = self._reset_count
         async with self._changed:
-            with suppress(TimeoutError):
+            try:
                 async with asyncio.timeout(wait_ms / 1000.0):
-                    await self._changed.wait_for(
-                        lambda: self._version > after or self._reset_count > resets_before
-                    )
-        if self._reset_count > resets_before:
-            raise ConnectionAbortedError
+                    await self._changed.wait_for(lambda: self._version > after)
+            except TimeoutError:
+                pass
         hosts = self._entries_for(node, after)
         return {"seq": max(after, self._version), "whole": False, "hosts": hosts}
--- a/review/standins_2/executor.py
+++ b/review/standins_2/executor.py
@@ -31,6 +31,7 @@
     cores: float = 4.0
     slots: int = 5
     closes_connections: bool = False  # after each answer
+    hands_back_after_seconds: float | None = None  # if set, no job is started: each is handed back
 
 
 @dataclass(eq=False)
@@ -52,6 +53,7 @@
         self._record = record
         self._running: list[_Job] = []
         self._queue: deque[_Job] = deque()
+        self._cancelled_ids: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def listen_for(self, node: str, node_address: str, port: int = 0) -> None:
@@ -84,7 +86,9 @@
     def _handle(self, node: str, node_address: str, request: Message) -> bytes | None:
         method, path, _ = request.first_line
         if method == "DELETE":
-            self._record.add("cancelled", executor=self.name, node=node, id=path.rsplit("/", 1)[-1])
+            job_id = path.rsplit("/", 1)[-1]
+            self._cancelled_ids.add(job_id)
+            self._record.add("cancelled", executor=self.name, node=node, id=job_id)
             return encode_response(204)
         if method != "POST":
             return encode_response(404)
@@ -92,9 +96,18 @@
         job = _Job(request.headers["request-id"], node_address, order["work_ms"])
         told_ms = int(request.headers["request-timeout-ms"])
         self._record.add("attempt arrived", executor=self.name, node=node, id=job.id, told_ms=told_ms)
-        self._queue.append(job)
+        if self._spec.hands_back_after_seconds is None:
+            self._queue.append(job)
+        else:
+            self._spawn(self._hand_back(job, self._spec.hands_back_after_seconds))
         return encode_response(202, closes=self._spec.closes_connections)
 
+    async def _hand_back(self, job: _Job, after_seconds: float) -> None:
+        """Hand a waiting job back unstarted, unless it was cancelled."""
+        await asyncio.sleep(after_seconds)
+        if job.id not in self._cancelled_ids:
+            self._end(job, "returned")
+
     async def _run(self) -> None:
         stepped_at = time.monotonic()
         while True:
--- a/review/standins_2/wire.py
+++ b/review/standins_2/wire.py
@@ -93,20 +93,12 @@
 
 
 async def serve(handle: Handler, port: int = 0) -> asyncio.Server:
-    """Serve requests on loopback.
-
-    `handle` returns the bytes of a response, or None to say nothing more; it raises ConnectionAbortedError to
-    reset the connection.
-    """
+    """Serve requests on loopback; `handle` returns the bytes of a response, or None to say nothing more."""
 
     async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError):
             while (request := await read_message(reader)) is not None:
-                try:
-                    response = await handle(request)
-                except ConnectionAbortedError:
-                    writer.transport.abort()
-                    return
+                response = await handle(request)
                 if response is None:
                     break
                 writer.write(response)
