Notice clients that leave while their input waits for a turn

Cause: a connection that waits for a turn of `ExcessInputTurns` does not read from its socket, so it was kept for 2.6 s after its client had left.

Change: `PeerCloseWatch` watches the sockets of the waiting connections and cancels their waits. Call-backs count also if their executor has closed its side. New counts: `abandoned` in `excess-input`, and `late-closes`.

--- a/burlmoor/counters.py
+++ b/burlmoor/counters.py
@@ -18,8 +18,11 @@
     CLIENT_CLOSES = "client-closes"  # connections of clients and call-backs, by reason
     # Connections that were due to be closed until input was found on them, by the reason for closing.
     PREVENTED_CLOSES = "prevented-closes"
-    # Turns of connections that sent more than their allowance (`downstream/excess_input.py`).
+    # Turns of connections that sent more than their allowance, and connections whose clients left before
+    # their turn (`downstream/excess_input.py`).
     EXCESS_INPUT = "excess-input"
+    # Connections that the node closed for its own reasons although their peers had closed them before.
+    LATE_CLOSES = "late-closes"
     ENDPOINT_CLOSES = "endpoint-closes"  # connections to endpoints, by reason
 
 
--- a/burlmoor/downstream/accepted_socket.py
+++ b/burlmoor/downstream/accepted_socket.py
@@ -29,6 +29,9 @@
 _REJECTED_BODY_LINGER_SECONDS = 5.0
 _REJECTED_BODY_LINGER_BYTES = 64 << 20
 
+# Reasons of the node's own. If the peer had closed the connection before, the node has not noticed that.
+_NODE_REASONS = frozenset((CloseReason.TIMED_OUT, CloseReason.MADE_ROOM, CloseReason.IDLE))
+
 
 class AcceptedSocket:
     """Wraps the stream of one accepted connection and records why it is closed.
@@ -154,7 +157,9 @@
         """Close the socket, and count the recorded reason, or `default_reason` if there is none."""
         if self.stream.is_closed:
             return  # already closed, or passed to another process
+        reason = self._close_reason or default_reason
+        if reason in _NODE_REASONS and self.stream.has_peer_closed():
+            self._counters.count(CounterGroup.LATE_CLOSES, reason.value)
         self.stream.close()
         self.scope.cancel()  # its task may wait for something else than the socket
-        reason = self._close_reason or default_reason
         self._counters.count(CounterGroup.CLIENT_CLOSES, reason.value)
--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -9,7 +9,7 @@
 
 from burlmoor.downstream.accepted_socket import LINGER_BYTES
 from burlmoor.downstream.drain import ServiceState
-from burlmoor.downstream.excess_input import InputAllowance
+from burlmoor.downstream.excess_input import AbandonedInputError, InputAllowance
 from burlmoor.downstream.http import HttpServerConnection
 from burlmoor.downstream.requests import JobCallback, JobSubmission, ParsedRequest
 from burlmoor.downstream.responses import Response
@@ -144,8 +144,8 @@
     async def _read(self) -> None:
         while not self.is_finished:
             if self._can_handle_input:
-                async with self._excess_input.turn():
-                    self._handle_next_portion()
+                if not await self._handle_excess_input():
+                    return
                 continue
             if not self._stream.inbound.free_space:
                 # Keep reading with a full buffer, to notice when the client disconnects: a close is only read
@@ -157,6 +157,22 @@
             if not await self._receive():
                 return
 
+    async def _handle_excess_input(self) -> bool:
+        """Handle a portion of the input in a turn; return False if the client has disconnected before.
+
+        An executor may close its connection right after a call-back, which counts nevertheless.
+
+        Raises:
+            StreamClosedError: this side has closed the connection.
+        """
+        outlasts_peer = self._http.is_receiving_callback
+        try:
+            async with self._excess_input.turn(self._stream, outlasts_peer=outlasts_peer):
+                self._handle_next_portion()
+        except AbandonedInputError:
+            return False
+        return True
+
     async def _receive(self) -> bool:
         """Wait for input, or until a response allows buffered input to be handled, and handle it.
 
--- a/burlmoor/downstream/excess_input.py
+++ b/burlmoor/downstream/excess_input.py
@@ -13,11 +13,14 @@
 import trio
 
 from burlmoor.counters import CounterGroup
+from burlmoor.errors import BurlmoorError
+from burlmoor.transport.peer_close_watch import PeerCloseWatch
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from burlmoor.counters import EventCounters
+    from burlmoor.transport.stream import SocketStream
 
 # Costs in lines: what the parser does per line of a head or of the chunked encoding.
 _ALLOWANCE_LINES = 320  # four short reads: clients and executors may write a head and its body in pieces
@@ -27,10 +30,17 @@
 _REQUEST_COST_LINES = 16
 # After a turn none begins for this many times its duration, so that turns take a quarter of the node's time.
 _PAUSE_FACTOR = 3.0
-_TURN = "turns"  # as counted
+_TURN, _ABANDONED = "turns", "abandoned"  # as counted
 _MAX_COUNTED_SECONDS = 0.02  # of a turn, since a turn may also take long because the process is stalled
 
 
+class AbandonedInputError(BurlmoorError):
+    """The peer closed the connection before its turn."""
+
+    def __init__(self) -> None:
+        super().__init__("the peer closed the connection before its turn")
+
+
 class InputAllowance:
     """What one connection may have read and parsed without a turn, since it last waited for a response."""
 
@@ -57,18 +67,52 @@
 
 
 class ExcessInputTurns:
-    """Gives one connection at a time a turn, in the order in which they ask for one."""
+    """Gives one connection at a time a turn, in the order in which they ask for one.
+
+    `run` must be running: it ends the waits of connections whose peers close them.
+    """
 
     def __init__(self, counters: EventCounters) -> None:
         self._lock = trio.Lock()  # trio's locks are fair
+        self._peer_close_watch = PeerCloseWatch()
         self._counters = counters
 
+    async def run(self) -> None:
+        """Notice the peers that close their connections during a wait, until cancelled."""
+        await self._peer_close_watch.run()
+
     @asynccontextmanager
-    async def turn(self) -> AsyncIterator[None]:
-        """Wait for a turn; the enclosed code must not suspend."""
-        async with self._lock:
+    async def turn(self, stream: SocketStream, *, outlasts_peer: bool) -> AsyncIterator[None]:
+        """Wait for a turn; the enclosed code must not suspend.
+
+        `outlasts_peer` is whether the input of `stream` counts even if its peer has closed the connection.
+
+        Raises:
+            AbandonedInputError: the peer closed the connection first, and the input does not count then.
+            StreamClosedError: this side has closed the stream.
+        """
+        if not outlasts_peer:
+            await self._wait_unless_abandoned(stream)
+        else:
+            await self._lock.acquire()
+        try:
             self._counters.count(CounterGroup.EXCESS_INPUT, _TURN)
             started_at = trio.current_time()
             yield
             duration_seconds = min(trio.current_time() - started_at, _MAX_COUNTED_SECONDS)
             await trio.sleep(_PAUSE_FACTOR * duration_seconds)
+        finally:
+            self._lock.release()
+
+    async def _wait_unless_abandoned(self, stream: SocketStream) -> None:
+        """Acquire the lock.
+
+        Raises:
+            AbandonedInputError: the peer closed the connection first.
+            StreamClosedError: this side has closed the stream.
+        """
+        with self._peer_close_watch.cancelling(stream) as scope:
+            await self._lock.acquire()
+        if scope.cancelled_caught:
+            self._counters.count(CounterGroup.EXCESS_INPUT, _ABANDONED)
+            raise AbandonedInputError
--- a/burlmoor/downstream/http.py
+++ b/burlmoor/downstream/http.py
@@ -25,6 +25,7 @@
 READY_PATH = "/health/ready"
 CALLBACK_PATH = "/v1/job-events"
 _MAX_HEAD_BYTES = 16384
+_CALLBACK_START = f"POST {CALLBACK_PATH}".encode()
 _MAX_REASON_LENGTH = 100
 _CONNECTION_CLOSE = ("Connection", "close")
 _CONTINUE = h11.InformationalResponse(status_code=HTTPStatus.CONTINUE, headers=[])
@@ -91,6 +92,14 @@
         """Whether there is neither a partial nor an open request."""
         return not self.has_open_request and self._head is None and not self._has_received_more
 
+    @property
+    def is_receiving_callback(self) -> bool:
+        """Whether the input that has arrived behind the last request begins with a call-back."""
+        if self._head is not None:
+            return (self._head.method, self._head.path) == (b"POST", CALLBACK_PATH)
+        start = self._http.trailing_data[0] or self._unparsed.peek(len(_CALLBACK_START))
+        return start.startswith(_CALLBACK_START)
+
     def stop_reading(self) -> None:
         """Read no further request; the connection closes after the response to the open request, if any."""
         self.is_closing = True
@@ -173,7 +182,7 @@
         head = self._head
         assert head is not None
         method = head.method
-        path = head.target.split(b"?", 1)[0].decode("ascii", "replace")
+        path = head.path
         if path == READY_PATH:
             return ReadinessCheck() if method == b"GET" else _GET_ONLY
         if path == CALLBACK_PATH:
--- a/burlmoor/downstream/request_head.py
+++ b/burlmoor/downstream/request_head.py
@@ -29,6 +29,11 @@
         encoded_fields = _SEPARATOR.join(b"%b:%b" % field for field in event.headers)
         return cls(event.method, event.target, encoded_fields)
 
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.split(b"?", 1)[0].decode("ascii", "replace")
+
     @property
     def fields(self) -> list[tuple[bytes, bytes]]:
         """The names, in lower case, and the values, in the order in which they were sent."""
--- a/burlmoor/downstream/server.py
+++ b/burlmoor/downstream/server.py
@@ -175,6 +175,10 @@
         self.stop_listening()
         self.connections.close_all()
 
+    async def watch_waiting_connections(self) -> None:
+        """End the connections whose clients disconnect while they wait for a turn, until cancelled."""
+        await self._excess_input.run()
+
     async def sweep(self) -> None:
         """Periodically close the connections past a time limit, and idle ones while the node drains."""
         while True:
--- a/burlmoor/lifecycle/node.py
+++ b/burlmoor/lifecycle/node.py
@@ -68,6 +68,7 @@
         self._nursery.start_soon(components.engine_loop.run, components.engine)
         tasks = (
             components.server.sweep,
+            components.server.watch_waiting_connections,
             self._close_idle_connections,
             self._log_counts,
             self._stall_monitor.run,
--- a/burlmoor/log_events.py
+++ b/burlmoor/log_events.py
@@ -94,6 +94,7 @@
     client_closes: dict[str, int] | UnsetType = msgspec.field(name="client-closes", default=UNSET)
     prevented_closes: dict[str, int] | UnsetType = msgspec.field(name="prevented-closes", default=UNSET)
     excess_input: dict[str, int] | UnsetType = msgspec.field(name="excess-input", default=UNSET)
+    late_closes: dict[str, int] | UnsetType = msgspec.field(name="late-closes", default=UNSET)
     endpoint_closes: dict[str, int] | UnsetType = msgspec.field(name="endpoint-closes", default=UNSET)
 
     @classmethod
--- a/burlmoor/transport/input_portions.py
+++ b/burlmoor/transport/input_portions.py
@@ -26,6 +26,10 @@
         """Append received bytes."""
         self._data += data
 
+    def peek(self, count: int) -> bytes:
+        """Return the first bytes, at most `count`, without removing them."""
+        return bytes(self._data[:count])
+
     def take(self, missing_body_bytes: int) -> bytes:
         """Remove and return the next portion.
 
--- a/burlmoor/transport/stream.py
+++ b/burlmoor/transport/stream.py
@@ -16,7 +16,7 @@
 
 _RECEIVE_BYTES = 16384
 _DISCARD_PAUSE_SECONDS = 0.05  # between reads once a peer has exceeded the discard limit
-_PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # Values of SO_LINGER, which apply when the socket is closed, also by the end of the process.
 _LINGER_OFF = struct.pack("ii", 0, 0)  # the kernel delivers the written bytes, then closes the connection
 _LINGER_RESET = struct.pack("ii", 1, 0)  # the kernel discards undelivered bytes and sends a reset
@@ -58,6 +58,14 @@
         """Whether this side has closed the stream."""
         return self._sock is None
 
+    def fileno(self) -> int:
+        """Return the descriptor of the socket.
+
+        Raises:
+            StreamClosedError: this side has closed the stream.
+        """
+        return self._open_socket().fileno()
+
     def _open_socket(self) -> socket.socket:
         if self._sock is None:
             raise StreamClosedError
@@ -201,8 +209,8 @@
             return False
         poller = select.poll()
         try:
-            poller.register(self._sock, _PEER_CLOSED_EVENTS)
-            return any(events & _PEER_CLOSED_EVENTS for _, events in poller.poll(0))
+            poller.register(self._sock, PEER_CLOSED_EVENTS)
+            return any(events & PEER_CLOSED_EVENTS for _, events in poller.poll(0))
         except OSError:
             return False
 
