Evict connections whose input waits for a turn, without parsing it

Cause: before a connection is closed, its pending input is handled, up to 12 portions without a turn.

Change: input beyond the allowance is left to the turns, but for two portions before a close: the rest of what a slow client has written in many pieces. Only input that is handled completely counts as received.

--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -32,6 +32,7 @@
 
 # More portions than the largest request with a Content-Length takes: 16 KiB are read at a time.
 _MAX_PENDING_PORTIONS = 12
+_MAX_EXCESS_PORTIONS = 2  # of a request whose body has a Content-Length: the rest of its head, and its body
 
 
 class DownstreamConnection:
@@ -292,16 +293,17 @@
         if not self._socket.send(data):
             self._http.stop_reading()
 
-    def read_pending_input(self) -> None:
-        """Handle input that has arrived but was not read yet, up to the end of one request."""
+    def read_pending_input(self, *, may_exceed_allowance: bool = False) -> None:
+        """Handle input that has arrived but was not read yet, up to the end of one request.
+
+        Input beyond the allowance waits for a turn. Before the connection is closed, it may exceed the
+        allowance by as much as the rest of a request that a slow client has written in many pieces.
+        """
         try:
-            for _ in range(_MAX_PENDING_PORTIONS):
-                if self._stream.is_closed or not (self.is_idle or self.has_partial_request):
-                    return
-                if not self._can_handle_input and self._stream.receive_now() is not ReceiveResult.DATA:
-                    return
+            has_received = self._handle_pending(_MAX_EXCESS_PORTIONS if may_exceed_allowance else 0)
+            # A client that has sent more than was handled is not a slow one.
+            if has_received and not self._can_handle_input:
                 self.last_received_at = trio.current_time()
-                self._handle_next_portion()
         except (OSError, BufferError):
             self.close(CloseReason.BROKEN)
         except Exception as error:  # noqa: BLE001
@@ -309,6 +311,29 @@
             self._socket.on_error(error)
             self.close_now()
 
+    def _handle_pending(self, max_excess_portions: int) -> bool:
+        """Read and handle input up to the end of one request; return whether any has arrived.
+
+        Raises:
+            OSError: the connection broke.
+        """
+        has_received = False
+        excess_portions = 0
+        for _ in range(_MAX_PENDING_PORTIONS):
+            if self._stream.is_closed or not (self.is_idle or self.has_partial_request):
+                break
+            if self._allowance.is_used_up:
+                if excess_portions == max_excess_portions:
+                    break
+                excess_portions += 1
+            if not self._can_handle_input:
+                if self._stream.receive_now() is not ReceiveResult.DATA:
+                    break
+                has_received = True
+                self._allowance.on_read(len(self._stream.inbound))
+            self._handle_next_portion()
+        return has_received
+
     def close_unless_readable(self, reason: CloseReason) -> bool:
         """Close the connection unless input has arrived that was not read; return whether it is closed.
 
--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -159,7 +159,7 @@
         the connection was due.
         """
         for _ in range(_MAX_READS_BEFORE_CLOSE):
-            connection.read_pending_input()
+            connection.read_pending_input(may_exceed_allowance=True)
             if not is_due(connection):
                 self._counters.count(CounterGroup.PREVENTED_CLOSES, reason.value)
                 return False
--- a/burlmoor/downstream/eviction.py
+++ b/burlmoor/downstream/eviction.py
@@ -60,8 +60,11 @@
     def last_received_at(self) -> float:
         """When data last arrived."""
 
-    def read_pending_input(self) -> None:
-        """Handle input that has arrived but was not read yet, up to the end of one request."""
+    def read_pending_input(self, *, may_exceed_allowance: bool = False) -> None:
+        """Handle input that has arrived but was not read yet, up to the end of one request.
+
+        Input beyond the connection's allowance is left to its turns, unless it may exceed that by a little.
+        """
 
     def close_unless_readable(self, reason: CloseReason) -> bool:
         """Close the connection unless input has arrived that was not read; return whether it is closed.
--- a/burlmoor/testbed/mutations/attempts.py
+++ b/burlmoor/testbed/mutations/attempts.py
@@ -42,7 +42,7 @@
         return True
 
     replace_attributes(
-        DownstreamConnection, read_pending_input=lambda _self: None, close_unless_readable=close
+        DownstreamConnection, read_pending_input=lambda _self, **_options: None, close_unless_readable=close
     )
 
 
--- a/tests/downstream/test_abandoned_input.py
+++ b/tests/downstream/test_abandoned_input.py
@@ -8,12 +8,12 @@
 import trio
 
 from tests.support.node_harness import open_node_harness
+from tests.support.occupied_turn import occupy_turn
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from burlmoor.testbed.http_stream import HttpStream
-    from tests.support.node_harness import NodeHarness
 
 HEAD = b"POST /lookup/0f HTTP/1.1\r\nHost: svc\r\nRequest-Id: %d\r\nRequest-Timeout-Ms: 3000\r\n"
 FIELDS = b"a:b\r\n" * 2500
@@ -31,7 +31,6 @@
     "chunks beyond the buffer": HEAD % 5 + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 9000,
     "a call-back, then a job": CALLBACK * 5 + HEAD % 6 + FIELDS,
 }
-LONG_PAUSE_FACTOR = 1e6  # the first turn is followed by none for the rest of the test
 NOTICED_WITHIN_SECONDS = 0.5
 
 
@@ -47,14 +46,6 @@
     client.reset()
 
 
-async def occupy_turn(harness: NodeHarness) -> HttpStream:
-    """Let one client take the turn; return its connection."""
-    client = await harness.connect_client()
-    await client.socket_stream.send_all(HEAD % 9 + FIELDS)
-    await harness.wait_until(lambda: "excess-input" in harness.components.core.counters.totals())
-    return client
-
-
 @pytest.mark.parametrize("sent", INPUTS.values(), ids=INPUTS)
 @pytest.mark.parametrize("leave", [shut_down_sending, close, reset])
 async def test_a_client_that_leaves_while_its_input_waits_for_a_turn_is_noticed(
@@ -63,9 +54,7 @@
     # Guards against keeping the connections of clients that have left until their time limit.
     async with open_node_harness() as harness:
         connections = harness.components.server.connections
-        with monkeypatch.context() as patch:
-            patch.setattr("burlmoor.downstream.excess_input._PAUSE_FACTOR", LONG_PAUSE_FACTOR)
-            occupying = await occupy_turn(harness)
+        occupying = await occupy_turn(harness, monkeypatch)
         client = await harness.connect_client()
         await client.socket_stream.send_all(sent)
         await harness.wait_until(lambda: len(connections) == 2)
