Rank the connections to evict every 50 ms instead of for each new one

A node at its connection limit ranked all its connections for each connection to accept, and again for each one on which input was found.

Change: `EvictionCandidates` keeps the order, made at most every 50 ms, of at most 1,024 connections at a time; each is checked again before it is closed. A new connection tries eight of them at most, and otherwise waits in the backlog as before.

Measured (arm64): the new test counts 2,800 looks at most for 200 evictions of 2,000 connections and fails without the change.

--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,11 +15,11 @@
     is_timed_out,
     is_used_idle,
     may_be_surplus,
-    select_for_eviction,
     select_surplus_idle,
     select_timed_out,
     select_used_idle,
 )
+from burlmoor.downstream.eviction_candidates import EvictionCandidates
 from burlmoor.types.reasons import CloseReason
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
     from burlmoor.downstream.eviction import TrackedConnection
 
 _MAX_READS_BEFORE_CLOSE = 3  # of a connection whose client keeps sending
+_MAX_EVICTION_TRIES = 8  # for one new connection; input may be found on the connections to evict
+_MAX_RANKED_CONNECTIONS = 1024  # at a time, which takes a few milliseconds
 _EVICTION_RETRY_SECONDS = 0.05  # between attempts to evict while the set is full and no connection ends
 # One in 8 connections, and at least 4, are reserved for call-backs: waiting clients may not use them.
 _CONNECTIONS_PER_RESERVED = 8
@@ -38,7 +41,9 @@
     """Holds the open connections, their limit, and the number of clients that wait for an answer."""
 
     def __init__(self, max_connections: int, counters: EventCounters) -> None:
-        self._connections: set[TrackedConnection] = set()
+        # The keys in the order in which they are ranked for eviction.
+        self._connections: dict[TrackedConnection, None] = {}
+        self._eviction_candidates = EvictionCandidates()
         self._max_connections = max_connections
         self._counters = counters
         self._waiting_client_count = 0
@@ -73,15 +78,15 @@
 
     def add(self, connection: TrackedConnection) -> None:
         """Add a connection that this process or its predecessor has accepted."""
-        self._connections.add(connection)
+        self._connections[connection] = None
 
     def discard(self, connection: TrackedConnection) -> None:
-        """Remove a connection that has been passed to the successor."""
-        self._connections.discard(connection)
+        """Remove a connection that has been passed to the successor or evicted."""
+        self._connections.pop(connection, None)
 
     def on_connection_ended(self, connection: TrackedConnection) -> None:
         """Remove a connection whose task has ended, and wake `wait_for_capacity`."""
-        self._connections.discard(connection)
+        self.discard(connection)
         self._connection_ended.set()
 
     async def wait_for_capacity(self) -> None:
@@ -115,19 +120,29 @@
     def evict_one(self) -> bool:
         """Close one connection to make room: an unused one, else an idle one, else a stalled one.
 
-        Returns False if none may be closed.
+        Returns False if none may be closed, or if input was found on all that were tried.
         """
         now = trio.current_time()
-
-        def may_evict(connection: TrackedConnection) -> bool:
-            return eviction_rank(connection, now) is not None
-
-        while (connection := select_for_eviction(self._connections, now)) is not None:
-            if self._close_if(may_evict, connection, CloseReason.MADE_ROOM):
-                self._connections.discard(connection)
+        if self._eviction_candidates.is_ranking_due(now):
+            self._eviction_candidates.rank(self._take_to_rank(), now)
+        for _ in range(_MAX_EVICTION_TRIES):
+            connection = self._eviction_candidates.take_next(self._connections, now)
+            if connection is None:
+                return False
+            if self._close_if(partial(_may_evict, now=now), connection, CloseReason.MADE_ROOM):
+                self.discard(connection)
                 return True
         return False
 
+    def _take_to_rank(self) -> list[TrackedConnection]:
+        """Return the connections that were ranked least recently, and move them to the end."""
+        connections = list(islice(self._connections, _MAX_RANKED_CONNECTIONS))
+        if len(connections) < len(self._connections):
+            for connection in connections:
+                del self._connections[connection]
+                self._connections[connection] = None
+        return connections
+
     def close_idle(self) -> None:
         """Close every connection that has been used and is idle.
 
@@ -145,7 +160,7 @@
         """Close every idle connection, whether or not it has been used, to make room."""
         for connection in [each for each in self._connections if each.is_idle]:
             if self._close_if(is_idle, connection, CloseReason.SHUTDOWN):
-                self._connections.discard(connection)
+                self.discard(connection)
 
     def _close_if(
         self,
@@ -192,3 +207,7 @@
         )
         for connection in surplus:
             self._close_if(partial(may_be_surplus, now=now), connection, CloseReason.IDLE)
+
+
+def _may_evict(connection: TrackedConnection, now: float) -> bool:
+    return eviction_rank(connection, now) is not None
--- a/burlmoor/downstream/eviction.py
+++ b/burlmoor/downstream/eviction.py
@@ -94,18 +94,6 @@
     since: float
 
 
-def select_for_eviction(connections: Iterable[TrackedConnection], now: float) -> TrackedConnection | None:
-    """Return the connection to evict in favour of a new one, or None if none may be evicted."""
-    candidates = [
-        (rank, connection)
-        for connection in connections
-        if (rank := eviction_rank(connection, now)) is not None
-    ]
-    if not candidates:
-        return None
-    return min(candidates, key=lambda candidate: candidate[0])[1]
-
-
 def eviction_rank(connection: TrackedConnection, now: float) -> EvictionRank | None:
     """Return the rank of a connection, or None while it may not be evicted.
 
--- a/tests/downstream/test_eviction.py
+++ b/tests/downstream/test_eviction.py
@@ -6,17 +6,69 @@
 
 import trio
 
+from burlmoor.counters import EventCounters
+from burlmoor.downstream.connection_set import ConnectionSet
+from burlmoor.types.reasons import CloseReason
 from tests.support.node_harness import open_node_harness
 from tests.support.occupied_turn import occupy_turn
 
 if TYPE_CHECKING:
     import pytest
 
+CONNECTIONS = 2000
+EVICTIONS = 200
+# Each connection is looked at when it is ranked and before it is closed.
+MAX_LOOKS = CONNECTIONS + 4 * EVICTIONS
 CHUNKS = b"POST /lookup/0f HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 9000
 STALLED_SECONDS = 0.6  # longer than slow clients pause
 SERVED_WITHIN_SECONDS = 1.0
 
 
+class IdleConnection:
+    """A connection on which nothing has ever arrived; counts how often its state is looked at."""
+
+    looks = 0
+    has_been_used = has_unsent_output = has_partial_request = is_awaiting_response = is_finished = False
+    last_received_at = 0.0
+
+    def __init__(self, number: int) -> None:
+        self.state_since = float(number)
+        self.close_reason: CloseReason | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        IdleConnection.looks += 1
+        return True
+
+    def read_pending_input(self, *, may_exceed_allowance: bool = False) -> None: ...
+
+    def close_unless_readable(self, reason: CloseReason) -> bool:
+        self.close(reason)
+        return True
+
+    def close(self, reason: CloseReason) -> None:
+        self.close_reason = reason
+
+    def pass_to_successor(self) -> None: ...
+
+
+async def test_many_evictions_in_a_row_do_not_each_look_at_all_connections(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # Guards against stalls of seconds at the connection limit, when each accept ranks all connections.
+    autojump_clock.jump(CONNECTIONS + 1.0)
+    connection_set = ConnectionSet(CONNECTIONS, EventCounters())
+    connections = [IdleConnection(number) for number in range(CONNECTIONS)]
+    for connection in connections:
+        connection_set.add(connection)
+    IdleConnection.looks = 0
+    for _ in range(EVICTIONS):
+        assert connection_set.evict_one()
+    assert IdleConnection.looks <= MAX_LOOKS
+    evicted = [connection for connection in connections if connection.close_reason is CloseReason.MADE_ROOM]
+    assert evicted == connections[:EVICTIONS]
+
+
 async def test_connections_whose_input_waits_for_a_turn_make_room_for_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
