Let other tasks run during passes over many connections

The closing of surplus idle connections had no bound either.

Change: `PassLimit` lets other tasks run after each 5 ms of such a pass. What arrives meanwhile is found by the check at the socket before each close, as before.

Measured (arm64): the new test fails without the change (the pass is one step) and passes with it.

--- a/burlmoor/downstream/connection_set.py
+++ b/burlmoor/downstream/connection_set.py
@@ -20,6 +20,7 @@
     select_used_idle,
 )
 from burlmoor.downstream.eviction_candidates import EvictionCandidates
+from burlmoor.downstream.pass_limit import PassLimit
 from burlmoor.types.reasons import CloseReason
 
 if TYPE_CHECKING:
@@ -151,10 +152,12 @@
         for connection in select_used_idle(self._connections):
             self._close_if(is_used_idle, connection, CloseReason.SHUTDOWN)
 
-    def read_pending_input(self) -> None:
+    async def read_pending_input(self) -> None:
         """Handle the input that has arrived on any connection but was not read yet."""
+        pass_limit = PassLimit()
         for connection in list(self._connections):
             connection.read_pending_input()
+            await pass_limit.checkpoint()
 
     def close_all_idle(self) -> None:
         """Close every idle connection, whether or not it has been used, to make room."""
@@ -199,14 +202,17 @@
 
     async def close_expired(self, now: float) -> None:
         """Close the connections past a time limit, and surplus idle ones."""
+        # Many connections may expire at once, and each may have input to parse.
+        pass_limit = PassLimit()
         for connection in select_timed_out(self._connections, now):
             self._close_if(partial(is_timed_out, now=now), connection, CloseReason.TIMED_OUT)
-            await trio.lowlevel.checkpoint()  # many may expire at once, and each may have input to parse
+            await pass_limit.checkpoint()
         surplus = select_surplus_idle(
             self._connections, self._waiting_client_count, self._max_connections, now
         )
         for connection in surplus:
             self._close_if(partial(may_be_surplus, now=now), connection, CloseReason.IDLE)
+            await pass_limit.checkpoint()
 
 
 def _may_evict(connection: TrackedConnection, now: float) -> bool:
--- a/burlmoor/lifecycle/graceful_shutdown.py
+++ b/burlmoor/lifecycle/graceful_shutdown.py
@@ -85,16 +85,16 @@
         self._server.close()
 
     async def _wait_for_work(self) -> None:
-        while self._has_unfinished_work or self._has_unread_work():
+        while self._has_unfinished_work or await self._has_unread_work():
             if not self._handover.has_handed_over:
                 # Closes them without waiting for the server's next sweep. By now, new connections of clients
                 # are directed to other nodes.
                 self._connections.close_idle()
             await trio.sleep(_POLL_INTERVAL_SECONDS)
 
-    def _has_unread_work(self) -> bool:
+    async def _has_unread_work(self) -> bool:
         """Handle what clients have written but no task has read yet; return whether that leaves work."""
-        self._connections.read_pending_input()
+        await self._connections.read_pending_input()
         return self._has_unfinished_work
 
     @property
--- a/tests/downstream/test_eviction.py
+++ b/tests/downstream/test_eviction.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import trio
@@ -20,6 +21,8 @@
 # Each connection is looked at when it is ranked and before it is closed.
 MAX_LOOKS = CONNECTIONS + 4 * EVICTIONS
 CHUNKS = b"POST /lookup/0f HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 9000
+SLOW_CONNECTIONS = 100
+HANDLING_SECONDS = 0.002
 STALLED_SECONDS = 0.6  # longer than slow clients pause
 SERVED_WITHIN_SECONDS = 1.0
 
@@ -69,6 +72,33 @@
     assert evicted == connections[:EVICTIONS]
 
 
+class SlowConnection(IdleConnection):
+    """A connection with input that takes some time to handle."""
+
+    def read_pending_input(self, *, may_exceed_allowance: bool = False) -> None:
+        time.sleep(HANDLING_SECONDS)
+
+
+async def test_other_tasks_run_during_a_pass_over_many_connections() -> None:
+    # Guards against stalls in a shutdown, which has all connections handle their pending input.
+    connection_set = ConnectionSet(CONNECTIONS, EventCounters())
+    for number in range(SLOW_CONNECTIONS):
+        connection_set.add(SlowConnection(number))
+    run_count = 0
+
+    async def run_often() -> None:
+        nonlocal run_count
+        while True:
+            run_count += 1
+            await trio.lowlevel.checkpoint()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run_often)
+        await connection_set.read_pending_input()
+        nursery.cancel_scope.cancel()
+    assert run_count > SLOW_CONNECTIONS / 10
+
+
 async def test_connections_whose_input_waits_for_a_turn_make_room_for_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
