--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -168,7 +168,9 @@
         """
         outlasts_peer = self._http.is_receiving_callback
         try:
-            async with self._excess_input.turn(self._stream, outlasts_peer=outlasts_peer):
+            async with self._excess_input.turn(
+                self._stream, self._allowance.turn_level, outlasts_peer=outlasts_peer
+            ):
                 self._handle_next_portion()
         except AbandonedInputError:
             return False
--- a/burlmoor/downstream/excess_input.py
+++ b/burlmoor/downstream/excess_input.py
@@ -13,6 +13,7 @@
 import trio
 
 from burlmoor.counters import CounterGroup
+from burlmoor.downstream.turn_queue import TurnQueue
 from burlmoor.errors import BurlmoorError
 from burlmoor.transport.peer_close_watch import PeerCloseWatch
 
@@ -28,6 +29,7 @@
 _SHORT_READ_COST_LINES = 64  # such reads cost the event loop much for what they bring
 _SHORT_READ_BYTES = 512
 _REQUEST_COST_LINES = 16
+_LINES_PER_TURN_LEVEL = 64
 # After a turn none begins for this many times its duration, so that turns take a quarter of the node's time.
 _PAUSE_FACTOR = 3.0
 _TURN, _ABANDONED = "turns", "abandoned"  # as counted
@@ -47,6 +49,11 @@
     def __init__(self) -> None:
         self._used_lines = 0
 
+    @property
+    def turn_level(self) -> int:
+        """The level at which the connection waits for a turn: higher, the more it has sent."""
+        return self._used_lines // _LINES_PER_TURN_LEVEL
+
     @property
     def is_used_up(self) -> bool:
         """Whether further input of the connection has to wait for a turn."""
@@ -67,13 +74,14 @@
 
 
 class ExcessInputTurns:
-    """Gives one connection at a time a turn, in the order in which they ask for one.
+    """Gives one connection at a time a turn, those first that have sent least beyond what a client needs.
 
+    So a client that writes its request in many pieces does not wait for those that send thousands of lines.
     `run` must be running: it ends the waits of connections whose peers close them.
     """
 
     def __init__(self, counters: EventCounters) -> None:
-        self._lock = trio.Lock()  # trio's locks are fair
+        self._queue = TurnQueue()
         self._peer_close_watch = PeerCloseWatch()
         self._counters = counters
 
@@ -82,19 +90,20 @@
         await self._peer_close_watch.run()
 
     @asynccontextmanager
-    async def turn(self, stream: SocketStream, *, outlasts_peer: bool) -> AsyncIterator[None]:
+    async def turn(self, stream: SocketStream, level: int, *, outlasts_peer: bool) -> AsyncIterator[None]:
         """Wait for a turn; the enclosed code must not suspend.
 
-        `outlasts_peer` is whether the input of `stream` counts even if its peer has closed the connection.
+        `level` is the `turn_level` of the connection's allowance, and `outlasts_peer` whether the input of
+        `stream` counts even if its peer has closed the connection.
 
         Raises:
             AbandonedInputError: the peer closed the connection first, and the input does not count then.
             StreamClosedError: this side has closed the stream.
         """
         if not outlasts_peer:
-            await self._wait_unless_abandoned(stream)
+            await self._wait_unless_abandoned(stream, level)
         else:
-            await self._lock.acquire()
+            await self._queue.acquire(level)
         try:
             self._counters.count(CounterGroup.EXCESS_INPUT, _TURN)
             started_at = trio.current_time()
@@ -102,17 +111,20 @@
             duration_seconds = min(trio.current_time() - started_at, _MAX_COUNTED_SECONDS)
             await trio.sleep(_PAUSE_FACTOR * duration_seconds)
         finally:
-            self._lock.release()
+            self._queue.release()
 
-    async def _wait_unless_abandoned(self, stream: SocketStream) -> None:
-        """Acquire the lock.
+    async def _wait_unless_abandoned(self, stream: SocketStream, level: int) -> None:
+        """Wait for a turn.
 
         Raises:
             AbandonedInputError: the peer closed the connection first.
             StreamClosedError: this side has closed the stream.
         """
-        with self._peer_close_watch.cancelling(stream) as scope:
-            await self._lock.acquire()
-        if scope.cancelled_caught:
+        has_peer_closed = stream.has_peer_closed()
+        if not has_peer_closed:
+            with self._peer_close_watch.cancelling(stream) as scope:
+                await self._queue.acquire(level)
+            has_peer_closed = scope.cancelled_caught
+        if has_peer_closed:
             self._counters.count(CounterGroup.EXCESS_INPUT, _ABANDONED)
             raise AbandonedInputError
