Parse one portion at most of what a new or a closing connection sends in excess

The kernel shows the end of such a client only behind all its data.

Cause: each new connection could have five portions parsed without a turn, 2 ms for chunks, and each one that was closed up to six more, since the parsing was repeated as long as bytes were unread. At 400 new connections a second that took all the time.

Change: parsed lines use up the allowance faster, so that it has one portion of 64 lines; four short reads still fit. A connection whose input waits for a turn is closed after one portion.

--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -32,7 +32,7 @@
 
 # More portions than the largest request with a Content-Length takes: 16 KiB are read at a time.
 _MAX_PENDING_PORTIONS = 12
-_MAX_EXCESS_PORTIONS = 2  # of a request whose body has a Content-Length: the rest of its head, and its body
+_MAX_EXCESS_PORTIONS = 1  # enough for the rest of a head and its body
 
 
 class DownstreamConnection:
@@ -108,6 +108,11 @@
             return False
         return bool(self._stream.inbound) or self._http.has_unparsed_input
 
+    @property
+    def _has_excess_input(self) -> bool:
+        """Whether input has been read that waits for a turn."""
+        return self._allowance.is_used_up and self._can_handle_input
+
     def serve_without_task(self) -> bool:
         """Handle the input that has already arrived; return whether that completed and closed the connection.
 
@@ -339,9 +344,9 @@
     def close_unless_readable(self, reason: CloseReason) -> bool:
         """Close the connection unless input has arrived that was not read; return whether it is closed.
 
-        No client may await a response.
+        No client may await a response. Input that waits for a turn does not prevent the close.
         """
-        if self.is_finished:
+        if self.is_finished or self._has_excess_input:
             self.close(reason)
             return True
         return self._socket.close_unless_readable(reason)
--- a/burlmoor/downstream/excess_input.py
+++ b/burlmoor/downstream/excess_input.py
@@ -24,10 +24,12 @@
     from burlmoor.transport.stream import SocketStream
 
 # Costs in lines: what the parser does per line of a head or of the chunked encoding.
-_ALLOWANCE_LINES = 320  # four short reads: clients and executors may write a head and its body in pieces
+# Four short reads of 21 lines: clients and executors may write a head and its body in pieces.
+_ALLOWANCE_LINES = 384
 _READ_COST_LINES = 4
 _SHORT_READ_COST_LINES = 64  # such reads cost the event loop much for what they bring
 _SHORT_READ_BYTES = 512
+_PARSED_LINE_COST_LINES = 6  # every new connection may use its allowance, so that is one portion
 _REQUEST_COST_LINES = 16
 _LINES_PER_TURN_LEVEL = 64
 # After a turn none begins for this many times its duration, so that turns take a quarter of the node's time.
@@ -66,7 +68,7 @@
 
     def on_lines_parsed(self, line_count: int) -> None:
         """Count lines that were parsed."""
-        self._used_lines += line_count
+        self._used_lines += _PARSED_LINE_COST_LINES * line_count
 
     def on_request(self, *, has_more_input: bool) -> None:
         """Count a complete request, or restore the allowance if the client has sent nothing after it."""
--- a/burlmoor/testbed/fleet/input_flood.py
+++ b/burlmoor/testbed/fleet/input_flood.py
@@ -20,10 +20,12 @@
     from collections.abc import Callable
 
 MAX_SECONDS = 60.0
+_FIELD_COUNT = 3000
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _UNLIMITED = 1 << 20
 _RECEIVE_BYTES = 1 << 16
 _SELECT_SECONDS = 0.05
+_REOPEN_SECONDS = 0.2  # on average, after the client has closed a connection
 
 
 class FloodKind(StrEnum):
@@ -35,10 +37,19 @@
     FIELDS = "fields"  # heads of thousands of short fields, and no body
     JOBS = "jobs"  # small jobs, without waiting for the responses
     RESETS = "resets"  # large jobs on connections that the client resets at once
+    LEAVES = "leaves"  # heads of thousands of short fields on connections that the client closes at once
+    LEAVES_CHUNKS = "leaves-chunks"  # the same with jobs whose bodies come in chunks of one byte
+    LEAVES_CALLBACKS = "leaves-callbacks"  # the same with call-backs that have thousands of short fields
 
 
 # They submit no complete job, so that a record of the run does not need their requests.
-KINDS_WITHOUT_JOBS = (FloodKind.CALLBACKS, FloodKind.BYTES, FloodKind.FIELDS)
+KINDS_WITHOUT_JOBS = (
+    FloodKind.CALLBACKS,
+    FloodKind.BYTES,
+    FloodKind.FIELDS,
+    FloodKind.LEAVES,
+    FloodKind.LEAVES_CALLBACKS,
+)
 
 
 class AfterMessage(Enum):
@@ -46,6 +57,7 @@
 
     NEXT = "writes the next one"
     RESET = "resets the connection and opens another"
+    LEAVE = "closes the connection and opens another some time later"
     STOP = "writes nothing more, and opens another connection once the node closes this one"
 
 
@@ -84,15 +96,29 @@
     )
 
 
+def _fields_flood(after_message: AfterMessage) -> Flood:
+    """Return a flood of heads of thousands of fields, whose bodies are not written."""
+
+    def make_message(number: int) -> bytes:
+        return _job(number, 60_000, *["a:b"] * _FIELD_COUNT, written_bytes=0)
+
+    return Flood(make_message, after_message=after_message)
+
+
+def _callback_with_fields(number: int) -> bytes:
+    return _callback(number).replace(b"Host: n\r\n", b"Host: n\r\n" + b"a:b\r\n" * _FIELD_COUNT)
+
+
 FLOODS = {
     FloodKind.CALLBACKS: Flood(lambda number: b"".join(_callback(number) for _ in range(100))),
     FloodKind.CHUNKS: Flood(_chunked_job),
     FloodKind.BYTES: Flood(lambda number: _job(number, 60_000), max_write_bytes=1),
-    FloodKind.FIELDS: Flood(
-        lambda number: _job(number, 60_000, *["a:b"] * 3000, written_bytes=0), after_message=AfterMessage.STOP
-    ),
+    FloodKind.FIELDS: _fields_flood(AfterMessage.STOP),
     FloodKind.JOBS: Flood(lambda number: _job(number, 10)),
     FloodKind.RESETS: Flood(lambda number: _job(number, 60_000), after_message=AfterMessage.RESET),
+    FloodKind.LEAVES: _fields_flood(AfterMessage.LEAVE),
+    FloodKind.LEAVES_CHUNKS: Flood(_chunked_job, after_message=AfterMessage.LEAVE),
+    FloodKind.LEAVES_CALLBACKS: Flood(_callback_with_fields, after_message=AfterMessage.LEAVE),
 }
 
 
@@ -112,6 +138,10 @@
         self.unsent = self.unsent[self.sock.send(self.unsent[: flood.max_write_bytes]) :]
         return not self.unsent
 
+    def close(self) -> None:
+        """Close the connection; what was written is still delivered."""
+        self.sock.close()
+
     def reset(self) -> None:
         """Close the connection with a reset."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
@@ -128,6 +158,7 @@
         self._selector = selectors.DefaultSelector()
         self._open_count = 0
         self._message_number = 0
+        self._may_open_at = time.monotonic()
 
     def run(self, seconds: float) -> None:
         """Write for some seconds."""
@@ -139,8 +170,10 @@
 
     def _open_missing(self) -> None:
         with suppress(OSError):  # refused; the next round tries again
-            while self._open_count < self._connection_count:
+            while self._open_count < self._connection_count and time.monotonic() >= self._may_open_at:
                 connection = _FloodingConnection(self._address)
+                if self._flood.after_message is AfterMessage.LEAVE:
+                    self._may_open_at += _REOPEN_SECONDS / self._connection_count
                 self._open_count += 1
                 events = selectors.EVENT_READ | selectors.EVENT_WRITE
                 self._selector.register(connection.sock, events, connection)
@@ -162,14 +195,20 @@
             return
         if self._flood.after_message is AfterMessage.RESET:
             self._drop(connection)
+        elif self._flood.after_message is AfterMessage.LEAVE:
+            self._forget(connection)
+            connection.close()
         elif self._flood.after_message is AfterMessage.STOP:
             self._selector.modify(connection.sock, selectors.EVENT_READ, connection)
         else:
             connection.unsent = None
 
     def _drop(self, connection: _FloodingConnection) -> None:
-        self._selector.unregister(connection.sock)
+        self._forget(connection)
         connection.reset()
+
+    def _forget(self, connection: _FloodingConnection) -> None:
+        self._selector.unregister(connection.sock)
         self._open_count -= 1
 
 
