Check the window for repeats right before the first byte of an attempt

Cause: the window was checked only when the policy chose the attempt. Between that and the first byte there may be a connect, a second connect after a stale connection, or a stall; the send precondition looked at job, client and endpoint, but not at it.

Change: `check_send_time` refuses the attempt right before the first byte. The wait for a connection and an incomplete write end with the window, so that the job is answered then. The window counts from the first byte of the first attempt that may have run: its executor can't have received the job before. `AttemptGuard` checks the same, and the new invariant `repeat-window` counts a request that is completely written over 50 ms after its window.

--- a/burlmoor/engine/attempt_guard.py
+++ b/burlmoor/engine/attempt_guard.py
@@ -30,6 +30,8 @@
         """Return whether a new attempt of the job may be started now."""
         if job.is_closed or now >= job.deadline or attempt.number >= self._max_attempts:
             return False
+        if now > job.latest_send_at(attempt):
+            return False
         # A call-back identifies its attempt by request id and endpoint: one attempt of a job per endpoint.
         if any(earlier.endpoint == attempt.endpoint for earlier in job.attempts):
             return False
--- a/burlmoor/engine/engine.py
+++ b/burlmoor/engine/engine.py
@@ -42,6 +42,7 @@
         self._log = core.log
         self._tick_ms = core.settings.tick_ms
         self._non_idempotent_classes = _non_idempotent_classes(core.settings)
+        self._repeat_windows_ms = _repeat_windows_ms(core.settings)
         self._jobs = core.jobs
         self._deadlines = core.deadlines
         self._policy = core.policy
@@ -95,6 +96,7 @@
             # unusually short timeout is a client's retry.
             deadline=self._deadlines.deadline_after(now, timeout_ms),
             is_non_idempotent=request.job_class in self._non_idempotent_classes,
+            repeat_window_ms=self._repeat_windows_ms.get(request.job_class, math.inf),
         )
         self._jobs.add(job)
         self._deferral_notifier.on_job_admitted(job, request, conditions, now)
@@ -146,3 +148,12 @@
         for job_class in settings.classes
         if job_class.idempotency is Idempotency.NON_IDEMPOTENT
     )
+
+
+def _repeat_windows_ms(settings: Settings) -> dict[str, float]:
+    """Return the windows for repeats of the classes whose jobs have idempotency keys."""
+    return {
+        job_class.name: job_class.deduplication_window_ms
+        for job_class in settings.classes
+        if job_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
+    }
--- a/burlmoor/engine/job.py
+++ b/burlmoor/engine/job.py
@@ -5,11 +5,12 @@
 priority, expected times, cached keys. The two share no objects, only the numbers of jobs and attempts.
 
 `JobLifecycle` makes the transitions; `upstream` records what it has sent and received for an attempt
-(`record_address`, `record_written`, `record_accepted`).
+(`record_send`, `record_written`, `record_accepted`).
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -34,6 +35,7 @@
     outcome: Outcome | None = None  # None until the attempt has ended
     pending_outcome: Outcome | None = None  # set on cancellation: its outcome once the endpoint confirms
     address: str = ""  # `host:port` to which upstream sends it
+    send_began_at: float | None = None  # when the first byte of its request was written, the last time
     written_at: float | None = None  # when the last byte of its request was written
     accepted_at: float | None = None  # when the endpoint's 202 was received
     started_at: float | None = None  # when the endpoint reported that it runs the job
@@ -57,9 +59,15 @@
         """Whether the attempt has ended or is being cancelled."""
         return self.has_ended or self.is_cancelling
 
-    def record_address(self, address: str) -> None:
+    def record_send(self, address: str, now: float) -> None:
         """Record the `host:port` to which upstream begins to send the request."""
         self.address = address
+        self.send_began_at = now
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the job may have run in this attempt, or may still run; False if it provably never did."""
+        return self.outcome is None or not self.outcome.proves_not_started
 
     def record_written(self, now: float) -> None:
         """Record that upstream has written the last byte of the request."""
@@ -99,6 +107,8 @@
     deadline: float
     is_non_idempotent: bool
     passed_to_policy_at: float = field(init=False)  # at its receipt, or at the release of a deferred job
+    # How long after the first attempt that may have run another one may be sent; infinite if it always may.
+    repeat_window_ms: float = math.inf
     is_closed: bool = False  # whether the job has its final answer or needs none
     deferred_request: JobRequest | None = None  # set while the job is deferred and unknown to the policy
     attempts: list[Attempt] = field(default_factory=list)
@@ -130,6 +140,17 @@
 
     def may_have_run(self) -> bool:
         """Return whether the job may have run; False if all attempts provably never started."""
-        return any(
-            attempt.outcome is None or not attempt.outcome.proves_not_started for attempt in self.attempts
-        )
+        return any(attempt.may_have_run for attempt in self.attempts)
+
+    def latest_send_at(self, attempt: Attempt) -> float:
+        """Return the latest time at which this attempt may be sent; infinite if no other may have run.
+
+        The window for repeats counts from the first byte of the first other attempt that may have run. Its
+        executor can't have received the job, and remembers its key, before then.
+        """
+        sent_at = [
+            other.send_began_at
+            for other in self.attempts
+            if other is not attempt and other.may_have_run and other.send_began_at is not None
+        ]
+        return min(sent_at) + self.repeat_window_ms if sent_at else math.inf
--- a/burlmoor/invariants.py
+++ b/burlmoor/invariants.py
@@ -27,6 +27,7 @@
     SEND = "send"  # a request is written only to the current process of a live endpoint
     WITHDRAW = "withdraw"  # no unaccepted request remains at an endpoint that is no longer live
     REPEAT = "repeat"  # a non-idempotent job that may have run is not sent again
+    REPEAT_WINDOW = "repeat-window"  # a job with an idempotency key is sent again only within its window
     SIMULTANEOUS = "simultaneous"  # no more attempts of a job are open concurrently than settings allow
     NO_WRITE_AFTER_CLOSE = "start"  # nothing is written for a job that is closed
     RESET_ON_CLOSE = "close"  # a connection with an unanswered request is closed by a reset
--- a/burlmoor/upstream/request_sender.py
+++ b/burlmoor/upstream/request_sender.py
@@ -4,9 +4,16 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+import trio
+
 from burlmoor.invariants import Invariant
 from burlmoor.upstream.errors import RequestIncompleteError
-from burlmoor.upstream.send_precondition import check_send_precondition, recheck_send_precondition
+from burlmoor.upstream.send_precondition import (
+    SendPreconditionError,
+    check_send_precondition,
+    check_send_time,
+    recheck_send_precondition,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +26,8 @@
     from burlmoor.upstream.in_flight import InFlightAttempt
     from burlmoor.upstream.pool import ConnectionPool
 
+_TIME_LIMIT_SLACK_MS = 50.0  # by which the protocol's time limits are longer on sockets
+
 
 class RequestPayload(Protocol):
     """The parts of a client's request that attempts forward unchanged."""
@@ -59,15 +68,23 @@
         """Write the complete request, and return the connection that its response will arrive on.
 
         Raises:
-            SendPreconditionError: the attempt must no longer be sent.
+            SendPreconditionError: the attempt must no longer be sent, or was not completely sent while it
+                might be; the job has not run.
             ConnectError: no connection was established.
             RequestIncompleteError: the connection broke before the last byte was written; the job has not
                 run.
         """
+        remaining_ms = attempt.job.latest_send_at(attempt) - self._clock()
+        with trio.move_on_after(max(0.0, remaining_ms / 1000.0)):
+            return await self._connect_and_write(attempt, in_flight)
+        raise SendPreconditionError(attempt, "the window for repeats is over")
+
+    async def _connect_and_write(self, attempt: Attempt, in_flight: InFlightAttempt) -> PooledConnection:
         # A non-idempotent job can't be retried if a pooled connection turns out to be stale.
         must_connect = attempt.job.is_non_idempotent and self._pool.had_recent_stale_connection
         while True:
             endpoint = check_send_precondition(attempt, self._directory)
+            check_send_time(attempt, self._clock())
             open_connection = self._pool.connect if must_connect else self._pool.acquire
             connection = await open_connection(endpoint.address)
             try:
@@ -75,6 +92,7 @@
                     # The job and the endpoint list may have changed during the connect. Nothing suspends
                     # between this check and the first byte.
                     recheck_send_precondition(attempt, self._directory, endpoint)
+                    check_send_time(attempt, self._clock())
                     await self._write(attempt, endpoint, connection, in_flight)
             except RequestIncompleteError:
                 if must_connect or not connection.is_reused:
@@ -93,7 +111,7 @@
     ) -> None:
         self._check_send_invariants(attempt, endpoint)
         in_flight.connection = connection
-        attempt.record_address(endpoint.address)
+        attempt.record_send(endpoint.address, self._clock())
         payload: RequestPayload = attempt.job.payload
         timeout_ms = max(1, int(attempt.deadline - self._clock()))
         headers = [("Request-Id", attempt.job.id), ("Request-Timeout-Ms", str(timeout_ms))]
@@ -102,6 +120,14 @@
         await connection.write(payload.method, payload.path, headers, payload.body)
         in_flight.is_written = True
         attempt.record_written(self._clock())
+        self._check_repeat_window(attempt)
+
+    def _check_repeat_window(self, attempt: Attempt) -> None:
+        """Count a violation if a request was completely written after its window for repeats."""
+        if self._clock() > attempt.job.latest_send_at(attempt) + _TIME_LIMIT_SLACK_MS:
+            self._invariants.record_violation(
+                Invariant.REPEAT_WINDOW, job_id=attempt.job.id, endpoint=attempt.endpoint
+            )
 
     def _check_send_invariants(self, attempt: Attempt, endpoint: ListedEndpoint) -> None:
         """Count a violation if a request is about to be written although its precondition does not hold."""
