Send no attempt whose deadline has passed while it waited

What executors saw: after a stall of the process, an attempt whose deadline had passed during the wait for its connection was written before the engine's timers ran, with a Request-Timeout-Ms of 1, for a client that waits no longer.

Cause: the same as of repeats after their window: decided by time, and not checked again after the wait.

Measured (arm64): the new test fails in 3 of 3 cases (idempotent, non-idempotent, with a key) without the change and passes.

--- a/burlmoor/upstream/send_precondition.py
+++ b/burlmoor/upstream/send_precondition.py
@@ -53,14 +53,17 @@
 def check_send_time(attempt: Attempt, now: float) -> None:
     """Check that it is not too late to send an attempt: since the policy chose it, the node may have waited.
 
-    If the job may have run in another attempt, its window for repeats must not be over. Executors then no
-    longer know its idempotency key, and would run it again.
+    - Its deadline is not over.
+    - If the job may have run in another attempt, its window for repeats is not over. Executors then no longer
+      know its idempotency key, and would run it again.
 
     As with the other conditions, the caller must not suspend between this check and the first byte.
 
     Raises:
         SendPreconditionError: it is too late.
     """
+    if now >= attempt.deadline:
+        raise SendPreconditionError(attempt, "its deadline is over")
     if now > attempt.job.latest_send_at(attempt):
         raise SendPreconditionError(attempt, "the window for repeats is over")
 
--- a/tests/integration/test_repeat_window.py
+++ b/tests/integration/test_repeat_window.py
@@ -119,6 +119,21 @@
         assert violations(harness) == {}
 
 
+@pytest.mark.parametrize("job_class", ["lookup", "once", "keyed"])
+async def test_an_attempt_whose_deadline_ends_while_the_process_is_stalled_is_not_sent(
+    job_class: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against work for clients that wait no longer, with a deadline of 1 ms passed on.
+    async with open_node_harness(given_settings=SETTINGS) as harness:
+        await harness.wait_ready()
+        delay_connections(harness, monkeypatch, Wait(0.4, is_stall=True))
+        client = await harness.submit_job(job_class, timeout_ms=300)
+        assert (await harness.read_response(client)).status == 503
+        await trio.sleep(ANSWERED_WITHIN_SECONDS)
+        assert not harness.jobs
+        assert violations(harness) == {}
+
+
 async def test_a_repeat_that_is_written_after_its_window_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against the fault staying unseen: no invariant and no drill showed it.
     monkeypatch.setattr("burlmoor.upstream.request_sender.check_send_time", lambda *_: None)
