Let the soak send jobs with idempotency keys, and audit their windows for repeats

In two fifths of the soak's runs, jobs of one class now have keys and a window of 0.3 s; `check_repeat_windows` judges what reached executors, and the mutation `late-repeat` sends after the window. The unit tests of the audit show both sides of the bound.

--- a/burlmoor/testbed/clients.py
+++ b/burlmoor/testbed/clients.py
@@ -10,6 +10,7 @@
 
 from burlmoor.testbed.clock import now_ms
 from burlmoor.testbed.http_stream import HttpMessage, HttpStream, connect
+from burlmoor.testbed.job_classes import KEYED_CLASS_NAME
 from burlmoor.testbed.messages import JobParameters
 
 if TYPE_CHECKING:
@@ -157,6 +158,8 @@
         "Work_Hint": str(int(request.work_ms * 1000.0)),
         "Request_Info": f"slots={slots}",
     }
+    if request.job_class == KEYED_CLASS_NAME:
+        headers["Idempotency_Key"] = request.id
     if tenant:
         headers["Tenant"] = tenant
     if request.run_after:
--- a/burlmoor/testbed/drill_soak.py
+++ b/burlmoor/testbed/drill_soak.py
@@ -1,10 +1,11 @@
 """The randomized fault soak: 10 to 40 node processes, and many faults that overlap in time.
 
-The seed determines the number of nodes, the faults with their times and targets, and whether the settings
-allow two concurrent attempts of a job. Clients keep their connections alive. Nodes that
-are restarted get SIGKILL at the earliest time after SIGTERM at which the platform may send it. The oracle
-consists of the rules, checked against what clients and executors observed (`fleet/audit.py`), and of the
-invariant violations that the nodes themselves count (`burlmoor/invariants.py`).
+The seed determines the number of nodes, the faults with their times and targets, whether the settings
+allow two concurrent attempts of a job, and whether jobs of one class have idempotency keys. Clients keep
+their connections alive. Nodes that are restarted get SIGKILL at the earliest time after SIGTERM at which the
+platform may send it. The oracle consists of the rules, checked against what clients and executors observed
+(`fleet/audit.py`), and of the invariant violations that the nodes themselves count
+(`burlmoor/invariants.py`).
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from msgspec import UNSET
 
 from burlmoor.log_events import InvariantViolated
 from burlmoor.testbed.drill import Claim, Drill, DrillParameters, Verdict, print_violations
@@ -34,6 +36,8 @@
 _RATE_PER_NODE = 4.0  # jobs per second
 _UTILIZATION = 0.4  # of all executors, many of which fail at once
 _HEDGING_FRACTION = 0.4  # of the runs; the others allow no concurrent attempts of a job
+_KEYED_FRACTION = 0.4  # of the runs, in which jobs of one class have idempotency keys
+_REPEAT_WINDOW_MS = 300.0  # of these jobs; less than the time after which an unanswered attempt is cancelled
 _SOCKET_LIMIT = 256  # descriptors per node; fewer than the connections of a flood
 
 
@@ -78,6 +82,7 @@
         "jobs": float(len(record.requests)),
         "attempts": float(len(record.attempts)),
         "hedging": float(record.plan.may_hedge),
+        "idempotency keys": float(record.plan.repeat_window_ms is not UNSET),
         "nodes restarted": float(fault_counts[FaultKind.NODE_RESTART]),
         "nodes killed in a restart": float(fault_counts[FaultKind.RESTART_KILL]),
         "nodes crowded": float(fault_counts[FaultKind.CONNECTION_FLOOD]),
@@ -91,6 +96,7 @@
 
 async def _run(parameters: DrillParameters, folder: Path) -> Verdict:
     nodes = parameters.nodes or random.Random(parameters.seed).randint(_MIN_NODES, _MAX_NODES)
+    has_keys = random.Random(f"{parameters.seed}:repeat window").random() < _KEYED_FRACTION
     plan = RunPlan(
         nodes=nodes,
         executors=executor_count(nodes),
@@ -102,6 +108,7 @@
         schedule=draw_soak_schedule(parameters.seed, parameters.seconds),
         hedging=random.Random(f"{parameters.seed}:settings").random() < _HEDGING_FRACTION,
         sockets=_SOCKET_LIMIT,
+        repeat_window_ms=_REPEAT_WINDOW_MS if has_keys else UNSET,
     )
     record = await run_fleet(plan, folder)
     return judge(record, count_node_violations(folder), parameters)
--- a/burlmoor/testbed/fleet/audit.py
+++ b/burlmoor/testbed/fleet/audit.py
@@ -15,6 +15,7 @@
     check_simultaneous_attempts,
     check_started_jobs,
 )
+from burlmoor.testbed.fleet.audit_repeats import check_repeat_windows
 from burlmoor.testbed.fleet.audit_result import AuditResult
 from burlmoor.testbed.fleet.audit_slow_start import check_slow_starts
 
@@ -29,6 +30,7 @@
     AnswerAudit(record, result).check()
     check_started_jobs(record, result)
     check_simultaneous_attempts(record, result)
+    check_repeat_windows(record, result)
     check_drains(record, result)
     check_slow_starts(record, result)
     return result
--- a/burlmoor/testbed/fleet/audit_attempts.py
+++ b/burlmoor/testbed/fleet/audit_attempts.py
@@ -157,7 +157,7 @@
             continue
         if paused.overlaps(node, received_ms, received_ms, RESUME_ALLOWANCE_MS):
             result.excuse(Excuse.NODE_PAUSED)
-        elif _is_link_faulty(record, node, attempt.executor, received_ms):
+        elif is_link_faulty(record, node, attempt.executor, received_ms):
             result.excuse(Excuse.LINK_SLOW)
         else:
             result.violations.append(
@@ -166,8 +166,13 @@
             )
 
 
-def _is_link_faulty(record: RunRecord, node: int, executor: str, at_ms: float) -> bool:
-    """Return whether a fault of the schedule slows this link down, or did so until recently."""
+def is_link_faulty(
+    record: RunRecord, node: int, executor: str, at_ms: float, *, includes_blocking: bool = False
+) -> bool:
+    """Return whether a fault of the schedule slows this link down, or did so until recently.
+
+    With `includes_blocking`, also whether one lets nothing pass.
+    """
     schedule = record.plan.schedule
     at_seconds = (at_ms - record.start_ms) / 1000.0
     just_ended = [fault for fault in schedule.faults if 0.0 <= at_seconds - fault.end < LINK_RECOVERY_SECONDS]
@@ -176,7 +181,7 @@
     executors = record.executor_population()
     link = _link_to_executor(record, node, executor)
     return any(
-        link_fault.kind not in BLOCKING_FAULTS and link_fault.affects(link)
+        (includes_blocking or link_fault.kind not in BLOCKING_FAULTS) and link_fault.affects(link)
         for moment in moments
         for link_fault in active_executor_link_faults(schedule, moment, nodes, executors)
     )
--- a/burlmoor/testbed/fleet/node_configuration.py
+++ b/burlmoor/testbed/fleet/node_configuration.py
@@ -5,8 +5,10 @@
 import json
 from typing import TYPE_CHECKING
 
+from msgspec import UNSET
+
 from burlmoor.testbed.fleet.addresses import Ports, link_address, node_address
-from burlmoor.testbed.job_classes import JOB_CLASSES, platform_settings
+from burlmoor.testbed.job_classes import JOB_CLASSES, add_repeat_window, platform_settings
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -43,6 +45,8 @@
         plan = self._record.plan
         settings = platform_settings(JOB_CLASSES, plan.nodes, self._record.node_zones[number])
         settings["Limits"]["SecondCopies"] = plan.may_hedge
+        if plan.repeat_window_ms is not UNSET:
+            add_repeat_window(settings, plan.repeat_window_ms)
         return {
             "name": self._record.node_names()[number],
             "listen": f"{node_address(number)}:{self._ports.node_http}",
--- a/burlmoor/testbed/fleet/record.py
+++ b/burlmoor/testbed/fleet/record.py
@@ -59,6 +59,8 @@
     # Omitted from the record if unset, as in records that were stored before these fields existed.
     hedging: bool | UnsetType = msgspec.field(default=UNSET, name="second_copies")
     sockets: int | UnsetType = UNSET
+    # The window for repeats of the jobs with idempotency keys; unset: no job has a key.
+    repeat_window_ms: float | UnsetType = msgspec.field(default=UNSET, name="repeat_window")
 
     @property
     def may_hedge(self) -> bool:
--- a/burlmoor/testbed/job_classes.py
+++ b/burlmoor/testbed/job_classes.py
@@ -30,6 +30,9 @@
     ),
 )  # fmt: skip
 
+# The class whose jobs have idempotency keys in runs that set a window for repeats.
+KEYED_CLASS_NAME = JOB_CLASSES[1].name
+
 
 def platform_settings(
     job_classes: Sequence[JobClass] = JOB_CLASSES, nodes: int = 1, zone: str = "a"
@@ -48,6 +51,13 @@
     }  # fmt: skip
 
 
+def add_repeat_window(settings: dict[str, Any], window_ms: float) -> None:
+    """Change these settings: jobs of the class with keys may be sent again only within this window."""
+    for class_settings in settings["RequestClasses"]:
+        if class_settings["Name"] == KEYED_CLASS_NAME:
+            class_settings.update(Idempotency="by_key", DedupScope="all", RepeatWindow=window_ms)
+
+
 def _class_settings(job_class: JobClass) -> dict[str, Any]:
     return {
         "Name": job_class.name,
--- a/burlmoor/testbed/mutations/attempts.py
+++ b/burlmoor/testbed/mutations/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from burlmoor.testbed.mutations.endpoint_list import OLD_LIST, UNDRAINED
@@ -12,6 +13,8 @@
 
     from burlmoor.downstream.connection import DownstreamConnection
     from burlmoor.engine.job import Attempt
+    from burlmoor.policy.model.endpoint import Endpoint
+    from burlmoor.policy.model.job import ScheduledJob
     from burlmoor.types.reasons import CloseReason
     from burlmoor.upstream.attempts import AttemptRunner
 
@@ -46,6 +49,20 @@
     )
 
 
+def _repeat_after_window() -> None:
+    from burlmoor.engine.job import Job  # noqa: PLC0415
+    from burlmoor.policy.safety import RetrySafety  # noqa: PLC0415
+
+    may_send = RetrySafety.may_send
+
+    def may_send_later(self: RetrySafety, job: ScheduledJob, endpoint: Endpoint, now: float) -> bool:
+        first = next(iter(job.possibly_run_attempts()), None)
+        return may_send(self, job, endpoint, now if first is None else min(now, first.sent_at))
+
+    replace_attributes(RetrySafety, may_send=may_send_later)
+    replace_attributes(Job, latest_send_at=lambda _self, _attempt: math.inf)
+
+
 SOAK_MUTATIONS: Mapping[str, Mutation] = mutations_by_name(
     Mutation(
         "keep-sent",
@@ -64,4 +81,9 @@
         "Clients' connections are closed although a request may have arrived on them.",
         _close_over_unread_input,
     ),
+    Mutation(
+        "late-repeat",
+        "Jobs with idempotency keys are sent again after their window for repeats.",
+        _repeat_after_window,
+    ),
 )
--- a/tests/testbed/fleet/test_audit.py
+++ b/tests/testbed/fleet/test_audit.py
@@ -7,10 +7,12 @@
 import msgspec
 import pytest
 
+from burlmoor.testbed.event_record import AttemptOutcome
 from burlmoor.testbed.fleet.audit import audit
 from burlmoor.testbed.fleet.audit_result import Excuse
 from burlmoor.testbed.fleet.fault_kinds import FaultKind
 from burlmoor.testbed.fleet.record import FaultInterval, RunRecord
+from burlmoor.testbed.job_classes import KEYED_CLASS_NAME
 from burlmoor.testbed.messages import EndpointHealth
 from burlmoor.testbed.notification_log import Notification
 from tests.testbed.fleet.recorded_runs import CONFIRM, SEARCH, make_even_run
@@ -158,6 +160,19 @@
         attempt.work_ms = 5000.0
 
 
+def repeat_after_window(record: RunRecord) -> None:
+    repeat_later(record, 1210.0)
+
+
+def repeat_later(record: RunRecord, later_ms: float) -> None:
+    """Send a job with an idempotency key again, this long after its first attempt."""
+    record.plan = msgspec.structs.replace(record.plan, repeat_window_ms=1000.0)
+    first, second = record.attempts[5], record.attempts[6]
+    second.id = first.id
+    first.job_class = second.job_class = KEYED_CLASS_NAME
+    second.received_ms = first.received_ms + later_ms
+
+
 def crash_node(record: RunRecord) -> None:
     record.unexpected_exits = {"n003": -11}
 
@@ -180,6 +195,7 @@
         (run_unknown_job, "no client sent"),
         (send_to_draining_executor, "was notified that s-1 drains"),
         (flood_executor_in_slow_start, "of its budget"),
+        (repeat_after_window, "10 ms after its window for repeats"),
         (crash_node, "ended with -11"),
     ],
 )
@@ -220,6 +236,18 @@
     assert audit(record).violations
 
 
+@pytest.mark.parametrize(
+    ("later_ms", "outcome"), [(1190.0, AttemptOutcome.DONE), (1500.0, AttemptOutcome.REJECTED)]
+)
+def test_a_repeat_within_its_window_or_after_a_rejection_is_allowed(
+    later_ms: float, outcome: AttemptOutcome
+) -> None:
+    record = make_even_run()
+    repeat_later(record, later_ms)
+    record.attempts[5].outcome = outcome
+    assert not [violation for violation in audit(record).violations if "window" in violation]
+
+
 def test_an_attempt_at_a_killed_executor_is_over() -> None:
     record = make_even_run()
     open_two_attempts_at_killed_executor(record)
