--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
+import pytest
 import trio
 
 from tests.support.admin_client import get_readiness_status, submit_and_finish_job
+from tests.support.flooding_client import flooding
 from tests.support.handover_harness import open_handover_harness
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
     from tests.support.node_harness import NodeHarness
     from tests.support.service_process import ServiceProcess
 
+GRACE_SECONDS = 3.0 + 0.7  # from SIGTERM to the earliest SIGKILL
 LONG_TIMEOUT_MS = 20_000  # a client's timeout that outlasts the start of a process
 
 
@@ -108,6 +111,31 @@
         await new.stop()
 
 
+@pytest.mark.parametrize(("kind", "connection_count"), [("leaves", 60), ("fields", 700)])
+async def test_a_handover_in_the_middle_of_a_flood_loses_no_job(
+    tmp_path: Path, kind: str, connection_count: int
+) -> None:
+    # Guards against a process that parses the input of flooding clients in place of handing over.
+    async with open_handover_harness(tmp_path) as harness:
+        old = await harness.start_process()
+        await old.wait_ready()
+        async with flooding(harness, kind, connection_count):
+            await trio.sleep(0.5)
+            waiting = await harness.submit_job("once", "a1", LONG_TIMEOUT_MS)
+            await harness.wait_until(lambda: harness.jobs)
+            new = await harness.start_process()
+            await new.wait_ready()
+            old.process.send_signal(signal.SIGTERM)
+            assert await harness.send_callback("done", "fine") == 204
+            assert (await harness.read_response(waiting)).body == b"fine"
+            later = await harness.submit_job("once", "a2", LONG_TIMEOUT_MS)
+            await harness.wait_until(lambda: len(harness.jobs) == 2)
+            assert await harness.send_callback("done", "later") == 204
+            assert (await harness.read_response(later)).body == b"later"
+            with trio.fail_after(GRACE_SECONDS):
+                assert await old.process.wait() == 0
+
+
 async def test_a_drained_node_keeps_its_open_job_across_two_handovers(
     tmp_path: Path,
 ) -> None:
--- a/tests/support/flooding_client.py
+++ b/tests/support/flooding_client.py
@@ -4,7 +4,7 @@
 
 import sys
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
@@ -13,11 +13,17 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from burlmoor.testbed.node_process import NodeProcess
+
+class Addressed(Protocol):
+    """A node, or what stands for its processes."""
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address to which clients connect."""
 
 
 @asynccontextmanager
-async def flooding(node: NodeProcess, kind: str, connection_count: int) -> AsyncIterator[None]:
+async def flooding(node: Addressed, kind: str, connection_count: int) -> AsyncIterator[None]:
     """Flood a node until the context ends."""
     host, port = node.address
     arguments = [kind, host, str(port), str(connection_count), str(input_flood.MAX_SECONDS)]
