Read the clock last before the first byte of a request

Change: the request is encoded first; `check_send_time` gets the clock, reads it last, and only send(2) follows.

--- a/burlmoor/upstream/connection.py
+++ b/burlmoor/upstream/connection.py
@@ -12,7 +12,7 @@
 from burlmoor.upstream.http import HttpClientConnection, Response
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from burlmoor.transport.stream import SocketStream
 
@@ -30,6 +30,10 @@
         """Handle that a connection was not reset, so that its unanswered request may still be delivered."""
 
 
+def _allow_send() -> None:
+    """Raise no error: the request may always be sent."""
+
+
 class PooledConnection:
     """Owns one connection and the request that is in flight on it.
 
@@ -48,15 +52,25 @@
         self.idle_since = 0.0
         self.reused_at = 0.0
 
-    async def write(self, method: bytes, path: bytes, headers: list[tuple[str, str]], body: bytes) -> None:
-        """Write a complete request.
+    async def write(
+        self,
+        method: bytes,
+        path: bytes,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        *,
+        check_send: Callable[[], None] = _allow_send,
+    ) -> None:
+        """Write a complete request, unless `check_send`, called right before the first byte, raises an error.
 
         Raises:
             RequestIncompleteError: the connection broke before the last byte of the request was written.
         """
         self._has_open_request = True
+        data = self._http.encode_request(method, path, headers, body)
         try:
-            self._stream.send(self._http.encode_request(method, path, headers, body))
+            check_send()
+            self._stream.send(data)
             await self._stream.drain()
         except (OSError, BufferError) as error:
             raise RequestIncompleteError(self.address, str(error)) from error
--- a/burlmoor/upstream/request_sender.py
+++ b/burlmoor/upstream/request_sender.py
@@ -84,7 +84,7 @@
         must_connect = attempt.job.is_non_idempotent and self._pool.had_recent_stale_connection
         while True:
             endpoint = check_send_precondition(attempt, self._directory)
-            check_send_time(attempt, self._clock())
+            check_send_time(attempt, self._clock)
             open_connection = self._pool.connect if must_connect else self._pool.acquire
             connection = await open_connection(endpoint.address)
             try:
@@ -92,7 +92,6 @@
                     # The job and the endpoint list may have changed during the connect. Nothing suspends
                     # between this check and the first byte.
                     recheck_send_precondition(attempt, self._directory, endpoint)
-                    check_send_time(attempt, self._clock())
                     await self._write(attempt, endpoint, connection, in_flight)
             except RequestIncompleteError:
                 if must_connect or not connection.is_reused:
@@ -117,7 +116,13 @@
         headers = [("Request-Id", attempt.job.id), ("Request-Timeout-Ms", str(timeout_ms))]
         if payload.idempotency_key:
             headers.append(("Idempotency-Key", payload.idempotency_key))
-        await connection.write(payload.method, payload.path, headers, payload.body)
+        await connection.write(
+            payload.method,
+            payload.path,
+            headers,
+            payload.body,
+            check_send=lambda: check_send_time(attempt, self._clock),
+        )
         in_flight.is_written = True
         attempt.record_written(self._clock())
         self._check_repeat_window(attempt)
--- a/burlmoor/upstream/send_precondition.py
+++ b/burlmoor/upstream/send_precondition.py
@@ -7,6 +7,8 @@
 from burlmoor.errors import BurlmoorError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burlmoor.endpoints.directory import EndpointDirectory
     from burlmoor.endpoints.endpoint_table import ListedEndpoint
     from burlmoor.engine.job import Attempt
@@ -50,21 +52,24 @@
     return endpoint
 
 
-def check_send_time(attempt: Attempt, now: float) -> None:
+def check_send_time(attempt: Attempt, clock: Callable[[], float]) -> None:
     """Check that it is not too late to send an attempt: since the policy chose it, the node may have waited.
 
     - Its deadline is not over.
     - If the job may have run in another attempt, its window for repeats is not over. Executors then no longer
       know its idempotency key, and would run it again.
 
-    As with the other conditions, the caller must not suspend between this check and the first byte.
+    As with the other conditions, the caller must not suspend between this check and the first byte. The
+    process may be stalled there, so the clock, which returns ms, is read last, and only the write follows.
 
     Raises:
         SendPreconditionError: it is too late.
     """
+    latest_send_at = attempt.job.latest_send_at(attempt)
+    now = clock()
     if now >= attempt.deadline:
         raise SendPreconditionError(attempt, "its deadline is over")
-    if now > attempt.job.latest_send_at(attempt):
+    if now > latest_send_at:
         raise SendPreconditionError(attempt, "the window for repeats is over")
 
 
--- a/tests/integration/test_repeat_window.py
+++ b/tests/integration/test_repeat_window.py
@@ -56,7 +56,7 @@
         if wait.is_stale:
             connection.is_reused = True
 
-            async def fail(*_: object) -> None:
+            async def fail(*_: object, **__: object) -> None:
                 raise RequestIncompleteError(address, "stale")
 
             async def connect_later(address: str) -> PooledConnection:
