Move the reading of a connection's input out of DownstreamConnection

`InputReader` reads and parses what a client sends: at once, in turns, before a close, and behind an open request. No change of behaviour.

--- a/burlmoor/downstream/connection.py
+++ b/burlmoor/downstream/connection.py
@@ -7,13 +7,11 @@
 import trio
 from msgspec import UNSET
 
-from burlmoor.downstream.accepted_socket import LINGER_BYTES
 from burlmoor.downstream.drain import ServiceState
-from burlmoor.downstream.excess_input import AbandonedInputError, InputAllowance
 from burlmoor.downstream.http import HttpServerConnection
+from burlmoor.downstream.input_reader import InputReader
 from burlmoor.downstream.requests import JobCallback, JobSubmission, ParsedRequest
 from burlmoor.downstream.responses import Response
-from burlmoor.transport.stream import ReceiveResult
 from burlmoor.types.reasons import CloseReason
 
 if TYPE_CHECKING:
@@ -30,19 +28,12 @@
     from burlmoor.engine.job import Job
 
 
-# More portions than the largest request with a Content-Length takes: 16 KiB are read at a time.
-_MAX_PENDING_PORTIONS = 12
-_DISCARD_BYTES_PER_TURN = 1 << 20  # less than a millisecond's work
-_MAX_EXCESS_PORTIONS = 1  # enough for the rest of a head and its body
-
-
 class DownstreamConnection:
     """Serves one accepted connection, and is the `Responder` of its open job.
 
     - `has_been_used`: whether a complete request has arrived
     - `state_since`: when the connection was accepted, began to receive its current request, or wrote its
       last response, whichever is latest
-    - `last_received_at`: when data last arrived
     """
 
     def __init__(
@@ -65,15 +56,17 @@
         self._connections = connections
         self._peers = peers
         self._drain = drain
-        self._excess_input = excess_input
-        self._allowance = InputAllowance()
-        self._receive_scope = trio.CancelScope()  # cancels the wait for further input
         self._nursery = nursery
         self._job: Job | None = None  # the open job that the client waits for
         self._last_request_id: str | UnsetType = UNSET
         self.has_been_used = has_been_used
         self.state_since = trio.current_time() if has_been_used else accepted_socket.accepted_at
-        self.last_received_at = self.state_since
+        self._input = InputReader(accepted_socket, self._http, self, excess_input, self.state_since)
+
+    @property
+    def last_received_at(self) -> float:
+        """When data last arrived."""
+        return self._input.last_received_at
 
     @property
     def is_idle(self) -> bool:
@@ -98,21 +91,7 @@
     @property
     def is_finished(self) -> bool:
         """Whether there is nothing more to read or to answer."""
-        return self._http.is_closing and not self._http.has_open_request
-
-    @property
-    def _can_handle_input(self) -> bool:
-        """Whether input has been read that may be handled now."""
-        # A job admitted from a connection that is closed, or about to be, could not be answered.
-        is_closed = self._stream.is_closed or self._socket.scope.cancel_called
-        if is_closed or self._http.has_open_request or self._http.is_closing:
-            return False
-        return bool(self._stream.inbound) or self._http.has_unparsed_input
-
-    @property
-    def _has_excess_input(self) -> bool:
-        """Whether input has been read that waits for a turn."""
-        return self._allowance.is_used_up and self._can_handle_input
+        return self._http.is_finished
 
     def serve_without_task(self) -> bool:
         """Handle the input that has already arrived; return whether that completed and closed the connection.
@@ -120,8 +99,7 @@
         Most connections carry a single call-back, so this saves starting a task for them.
         """
         try:
-            if self._stream.receive_now() is ReceiveResult.DATA:
-                self.process_input()
+            self._input.read_now()
         except (OSError, BufferError):
             self._http.stop_reading()
             self._socket.record_close_reason(CloseReason.BROKEN)
@@ -134,7 +112,7 @@
         """Serve the connection until it ends, then close it."""
         try:
             with self._socket.scope:
-                await self._read()
+                await self._input.read()
             if self.is_finished:
                 await self._socket.flush_and_linger(
                     may_have_unread_input=self._http.may_have_unread_input,
@@ -148,98 +126,23 @@
         finally:
             self.close_now()
 
-    async def _read(self) -> None:
-        while not self.is_finished:
-            if self._can_handle_input:
-                if not await self._handle_excess_input():
-                    return
-                continue
-            if not self._stream.inbound.free_space:
-                # Keep reading with a full buffer, to notice when the client disconnects: a close is only read
-                # after all data before it, and its job would otherwise go on. The client has sent more than
-                # the open request, so the rest is discarded and the response closes the connection.
-                self._http.stop_reading()
-                if not await self._stream.discard_up_to(LINGER_BYTES):
-                    await self._discard_in_turns()
-                return
-            if not await self._receive():
-                return
-
-    async def _handle_excess_input(self) -> bool:
-        """Handle a portion of the input in a turn; return False if the client has disconnected before.
-
-        An executor may close its connection right after a call-back, which counts nevertheless.
-
-        Raises:
-            StreamClosedError: this side has closed the connection.
-        """
-        outlasts_peer = self._http.is_receiving_callback
-        try:
-            async with self._excess_input.turn(
-                self._stream, self._allowance.turn_level, outlasts_peer=outlasts_peer
-            ):
-                self._handle_next_portion()
-        except AbandonedInputError:
-            return False
-        return True
-
-    async def _discard_in_turns(self) -> None:
-        """Discard what the client sends in excess until it disconnects.
-
-        Its close may be behind megabytes that its kernel has not sent yet, so they are not read slowly.
-
-        Raises:
-            OSError: the connection broke, or this side has closed it.
-        """
-        while await self._stream.wait_readable():
-            try:
-                async with self._excess_input.turn(
-                    self._stream, self._allowance.turn_level, outlasts_peer=False
-                ):
-                    self._stream.discard_available(_DISCARD_BYTES_PER_TURN)
-            except AbandonedInputError:
-                return
-
-    async def _receive(self) -> bool:
-        """Wait for input, or until a response allows buffered input to be handled, and handle it.
-
-        Returns False if the client has shut down its sending side.
-
-        Raises:
-            OSError: the connection broke.
-        """
-        with trio.CancelScope() as self._receive_scope:
-            if not await self._stream.receive():
-                return False
-        self.process_input()
-        return True
-
-    def process_input(self) -> None:
-        """Handle the input that has been read, as far as the allowance goes.
-
-        The connection's task handles the rest in turns.
-        """
-        self.last_received_at = trio.current_time()
-        self._allowance.on_read(len(self._stream.inbound))
-        while self._can_handle_input and not self._allowance.is_used_up:
-            self._handle_next_portion()
-        self.pass_to_successor()
-
-    def _handle_next_portion(self) -> None:
-        """Parse the next portion of the input, and handle the request that it completes."""
-        if not self._can_handle_input:
-            return
+    def on_portion_begins(self) -> None:
+        """Record when a request after the first one begins to arrive."""
         if self.has_been_used and self._http.is_idle:
             self.state_since = trio.current_time()
-        request = self._http.receive_data(self._stream.inbound.read_all())
-        self._allowance.on_lines_parsed(self._http.last_line_count)
+
+    def on_portion_parsed(self, request: ParsedRequest | None) -> None:
+        """Handle the request that a portion of the input completes, if any."""
         if request is not None:
             self.has_been_used = True
-            self._allowance.on_request(has_more_input=self._http.has_unparsed_input)
             self._handle(request)
         elif interim := self._http.encode_continue_response():
             self._send(interim)
 
+    def on_input_handled(self) -> None:
+        """Pass the connection to the successor process if there is one and it is idle now."""
+        self.pass_to_successor()
+
     def _handle(self, request: ParsedRequest) -> None:
         if isinstance(request, JobSubmission):
             self._last_request_id = request.request_id
@@ -262,27 +165,13 @@
         The task that reads may not have run since then, and what the client wrote before may be unread.
         """
         try:
-            if not (self._stream.has_peer_closed() or self._read_ahead()):
+            if not (self._stream.has_peer_closed() or self._input.read_ahead()):
                 return self._stream.is_closed
         except OSError:
             self._socket.record_close_reason(CloseReason.BROKEN)
         self.close(CloseReason.PEER_CLOSED)
         return True
 
-    def _read_ahead(self) -> bool:
-        """Read what has arrived behind the open request; return whether the client's close follows it.
-
-        Raises:
-            OSError: the connection broke.
-        """
-        while (result := self._stream.receive_now()) is ReceiveResult.DATA:
-            pass
-        if not self._stream.inbound.free_space:
-            self._http.stop_reading()
-            self._receive_scope.cancel()  # the task discards further input
-            self._stream.discard_available(LINGER_BYTES)
-        return result is ReceiveResult.END or self._stream.has_peer_closed()
-
     def respond(self, answer: FinalAnswer) -> None:
         """Send the client the final answer of its job."""
         self._job = None
@@ -291,8 +180,8 @@
 
     def _on_responded(self) -> None:
         """Wake the connection's task if there is buffered input; pass an idle connection on."""
-        if self._can_handle_input:
-            self._receive_scope.cancel()
+        if self._input.can_handle_input:
+            self._input.resume()
         else:
             self.pass_to_successor()
 
@@ -320,16 +209,9 @@
             self._http.stop_reading()
 
     def read_pending_input(self, *, may_exceed_allowance: bool = False) -> None:
-        """Handle input that has arrived but was not read yet, up to the end of one request.
-
-        Input beyond the allowance waits for a turn. Before the connection is closed, it may exceed the
-        allowance by as much as the rest of a request that a slow client has written in many pieces.
-        """
+        """Handle input that has arrived but was not read yet; see `InputReader.read_pending`."""
         try:
-            has_received = self._handle_pending(_MAX_EXCESS_PORTIONS if may_exceed_allowance else 0)
-            # A client that has sent more than was handled is not a slow one.
-            if has_received and not self._can_handle_input:
-                self.last_received_at = trio.current_time()
+            self._input.read_pending(may_exceed_allowance=may_exceed_allowance)
         except (OSError, BufferError):
             self.close(CloseReason.BROKEN)
         except Exception as error:  # noqa: BLE001
@@ -337,35 +219,12 @@
             self._socket.on_error(error)
             self.close_now()
 
-    def _handle_pending(self, max_excess_portions: int) -> bool:
-        """Read and handle input up to the end of one request; return whether any has arrived.
-
-        Raises:
-            OSError: the connection broke.
-        """
-        has_received = False
-        excess_portions = 0
-        for _ in range(_MAX_PENDING_PORTIONS):
-            if self._stream.is_closed or not (self.is_idle or self.has_partial_request):
-                break
-            if self._allowance.is_used_up:
-                if excess_portions == max_excess_portions:
-                    break
-                excess_portions += 1
-            if not self._can_handle_input:
-                if self._stream.receive_now() is not ReceiveResult.DATA:
-                    break
-                has_received = True
-                self._allowance.on_read(len(self._stream.inbound))
-            self._handle_next_portion()
-        return has_received
-
     def close_unless_readable(self, reason: CloseReason) -> bool:
         """Close the connection unless input has arrived that was not read; return whether it is closed.
 
         No client may await a response. Input that waits for a turn does not prevent the close.
         """
-        if self.is_finished or self._has_excess_input:
+        if self.is_finished or self._input.has_excess_input:
             self.close(reason)
             return True
         return self._socket.close_unless_readable(reason)
--- a/burlmoor/downstream/http.py
+++ b/burlmoor/downstream/http.py
@@ -87,6 +87,11 @@
         """Whether input has been received behind the events that h11 has returned."""
         return bool(self._unparsed) or bool(self._http.trailing_data[0])
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether there is nothing more to read or to answer."""
+        return self.is_closing and not self.has_open_request
+
     @property
     def is_idle(self) -> bool:
         """Whether there is neither a partial nor an open request."""
