--- a/burlmoor/downstream/input_reader.py
+++ b/burlmoor/downstream/input_reader.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import weakref
 from typing import TYPE_CHECKING, Protocol
 
 import trio
@@ -40,7 +41,7 @@
 
 
 class InputReader:
-    """Reads the input of one connection.
+    """Reads the input of one connection, which owns the reader.
 
     - `last_received_at`: when data last arrived
     """
@@ -56,7 +57,8 @@
         self._socket = accepted_socket
         self._stream = accepted_socket.stream
         self._http = http
-        self._handler = handler
+        # Not a cycle of references, so that a connection that has ended is freed at once.
+        self._handler: InputHandler = weakref.proxy(handler)
         self._turns = turns
         self._allowance = InputAllowance()
         self._receive_scope = trio.CancelScope()  # cancels the wait for further input
