--- a/burlmoor/testbed/fleet/audit_repeats.py
+++ b/burlmoor/testbed/fleet/audit_repeats.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from msgspec import UNSET
 
@@ -13,7 +13,7 @@
 from burlmoor.testbed.job_classes import KEYED_CLASS_NAME
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from burlmoor.testbed.event_record import AttemptRecord
     from burlmoor.testbed.fleet.record import RunRecord
@@ -22,13 +22,21 @@
 _NOT_RUN = frozenset((AttemptOutcome.RETURNED, AttemptOutcome.REJECTED))
 
 
+class _LateRepeat(NamedTuple):
+    """An attempt that came after its job's window for repeats, and how long after it."""
+
+    attempt: AttemptRecord
+    late_ms: float
+
+
 def check_repeat_windows(record: RunRecord, result: AuditResult) -> None:
     """Check that no job reaches an executor after its window for repeats, if it may have run before."""
     window_ms = record.plan.repeat_window_ms
     if window_ms is UNSET:
         return
     paused = NodeFaultHistory(record, FaultKind.NODE_PAUSE)
-    for attempt, late_ms in _find_late_repeats(record.attempts, window_ms):
+    for repeat in _find_late_repeats(record.attempts, window_ms):
+        attempt, late_ms = repeat.attempt, repeat.late_ms
         node = int(attempt.node)
         if paused.overlaps(node, attempt.received_ms, attempt.received_ms, TRANSIT_ALLOWANCE_MS):
             result.excuse(Excuse.NODE_PAUSED)
@@ -40,10 +48,8 @@
             )
 
 
-def _find_late_repeats(
-    attempts: Iterable[AttemptRecord], window_ms: float
-) -> Iterable[tuple[AttemptRecord, float]]:
-    """Return the attempts that came after their job's window, and how long after it."""
+def _find_late_repeats(attempts: Iterable[AttemptRecord], window_ms: float) -> Iterator[_LateRepeat]:
+    """Find the attempts that came after their job's window."""
     keyed = (attempt for attempt in attempts if attempt.job_class == KEYED_CLASS_NAME)
     for same_job in attempts_by_id(keyed).values():
         in_order = sorted(same_job, key=lambda attempt: attempt.received_ms)
@@ -53,4 +59,4 @@
         for attempt in in_order:
             late_ms = attempt.received_ms - first.received_ms - window_ms
             if late_ms > _TIME_LIMIT_SLACK_MS + TRANSIT_ALLOWANCE_MS:
-                yield attempt, late_ms
+                yield _LateRepeat(attempt, late_ms)
